--- /dev/null
+++ b/attempt.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// An Attempt counts the tries that one daemon makes for a request, from one.
+type Attempt uint16
--- /dev/null
+++ b/bytecount.go
@@ -0,0 +1,10 @@
+package lavenderridge
+
+// A ByteCount counts bytes.
+type ByteCount int64
+
+// Sizes in bytes.
+const (
+	Kibibyte ByteCount = 1 << 10
+	Mebibyte ByteCount = 1 << 20
+)
--- /dev/null
+++ b/class.go
@@ -0,0 +1,37 @@
+package lavenderridge
+
+// A Class ranks requests for load shedding: under overload the lowest class is
+// refused first.
+type Class uint8
+
+// The classes, lowest first.
+const (
+	ClassBackground Class = iota + 1
+	ClassNormal
+	ClassCritical
+)
+
+var classNames = map[Class]string{
+	ClassBackground: "Background",
+	ClassNormal:     "Normal",
+	ClassCritical:   "Critical",
+}
+
+// String returns the name that catalogues use.
+func (c Class) String() string {
+	if n, o := classNames[c]; o {
+		return n
+	}
+	return "Unknown"
+}
+
+// ParseClass returns the class with the name n. It reports false when there is
+// no such class.
+func ParseClass(n string) (Class, bool) {
+	for c, s := range classNames {
+		if s == n {
+			return c, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/configservice.go
@@ -0,0 +1,14 @@
+package lavenderridge
+
+import (
+	"context"
+	"time"
+)
+
+// A ConfigService is the platform's configuration service, which can only be
+// read and watched. Each call counts against its rate.
+type ConfigService interface {
+	// Read returns the document d if its version is above v. Otherwise it
+	// waits up to w for one and returns nil without an error when none came.
+	Read(c context.Context, d DocumentName, v Version, w time.Duration) (*Document, error)
+}
--- /dev/null
+++ b/datacentreid.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// A DataCentreID names one data centre.
+type DataCentreID string
--- /dev/null
+++ b/depth.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// A Depth counts the services that a request has passed through.
+type Depth uint8
--- /dev/null
+++ b/documentname.go
@@ -0,0 +1,12 @@
+package lavenderridge
+
+// A DocumentName names one value of the configuration service.
+type DocumentName string
+
+// The documents that daemons read.
+const (
+	// DocumentCatalogue is the operators' catalogue.
+	DocumentCatalogue DocumentName = "catalogue"
+	// DocumentInstanceList is the platform's list of instances.
+	DocumentInstanceList DocumentName = "instances"
+)
--- /dev/null
+++ b/entryid.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// An EntryID names one entry of the catalogue.
+type EntryID string
--- /dev/null
+++ b/header.go
@@ -0,0 +1,12 @@
+package lavenderridge
+
+// A Header holds the HTTP header fields of a request or a response.
+type Header map[string][]string
+
+// Get returns the first value of the field k in canonical form, or "".
+func (h Header) Get(k string) string {
+	if v := h[k]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
--- /dev/null
+++ b/observation.go
@@ -0,0 +1,16 @@
+package lavenderridge
+
+import "time"
+
+// An Observation is the outcome of one caller's request at the daemon that the
+// caller met.
+type Observation struct {
+	Time       time.Time
+	Entry      EntryID
+	DataCentre DataCentreID
+	Latency    time.Duration
+	// Good tells that the request met its entry's objective.
+	Good bool
+	// Refusal is nil when the request got a response.
+	Refusal *Refusal
+}
--- /dev/null
+++ b/observer.go
@@ -0,0 +1,6 @@
+package lavenderridge
+
+// An Observer counts observations. Observe does not block.
+type Observer interface {
+	Observe(o Observation)
+}
--- /dev/null
+++ b/ownerid.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// An OwnerID names the people who answer for a catalogue entry.
+type OwnerID string
--- /dev/null
+++ b/peerdialer.go
@@ -0,0 +1,8 @@
+package lavenderridge
+
+// A PeerDialer reaches other daemons.
+type PeerDialer interface {
+	// Dial returns the peer at the instance n. It does not wait for a
+	// connection; calls on the peer do.
+	Dial(n *Instance) Peer
+}
--- /dev/null
+++ b/rate.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// A Rate counts events in a second.
+type Rate float64
--- /dev/null
+++ b/refusal.go
@@ -0,0 +1,44 @@
+package lavenderridge
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// A Refusal is the error of a request that got no answer from a backend
+// server. Its outcome tells the caller whether the request may have run.
+type Refusal struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is the time to wait before a resend; zero gives no advice.
+	RetryAfter time.Duration
+	// Place is the instance whose daemon refused.
+	Place InstanceID
+	// Detail explains the refusal to people.
+	Detail string
+	// Load is what the refusing daemon's backend server bore.
+	Load Load
+}
+
+var _ error = (*Refusal)(nil)
+
+// NewRefusal returns a refusal with an outcome and a reason.
+func NewRefusal(o Outcome, r Reason, d string) *Refusal {
+	return &Refusal{Outcome: o, Reason: r, Detail: d}
+}
+
+// Error returns the place, the reason, the outcome and the detail.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: refused (%s, %s): %s", r.Place, r.Reason, r.Outcome, r.Detail)
+}
+
+// AsRefusal returns the refusal in the chain of e. Any other error becomes a
+// refusal with an unknown outcome.
+func AsRefusal(e error) *Refusal {
+	var r *Refusal
+	if errors.As(e, &r) {
+		return r
+	}
+	return NewRefusal(OutcomeUnknown, ReasonInternal, e.Error())
+}
--- /dev/null
+++ b/slots.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// Slots counts requests that a backend server runs at the same time.
+type Slots int
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,114 @@
+package lavenderridge
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// A Snapshot is one accepted catalogue together with one accepted instance
+// list, compiled for routing. It never changes once made; a request uses one
+// snapshot from its beginning to its end.
+type Snapshot struct {
+	Catalogue  *Catalogue
+	List       *InstanceList
+	Stamps     Stamps
+	AcceptedAt time.Time
+
+	entries     []*Entry
+	services    map[ServiceID]*Service
+	dataCentres map[DataCentreID]*DataCentre
+	overrides   map[InstanceID]ServiceState
+	instances   map[InstanceID]*Instance
+	byService   map[ServiceID][]*Instance
+}
+
+// NewSnapshot returns the snapshot of a catalogue and an instance list that
+// have both been accepted. Neither may be changed afterwards.
+func NewSnapshot(c *Catalogue, l *InstanceList, s Stamps, t time.Time) *Snapshot {
+	n := &Snapshot{
+		Catalogue: c, List: l, Stamps: s, AcceptedAt: t,
+		services:    make(map[ServiceID]*Service, len(c.Services)),
+		dataCentres: make(map[DataCentreID]*DataCentre, len(c.DataCentres)),
+		overrides:   make(map[InstanceID]ServiceState, len(c.Instances)),
+		instances:   make(map[InstanceID]*Instance, len(l.Instances)),
+		byService:   make(map[ServiceID][]*Instance, len(c.Services)),
+	}
+	n.indexCatalogue()
+	n.indexInstances()
+	return n
+}
+
+func (s *Snapshot) indexCatalogue() {
+	for i := range s.Catalogue.Services {
+		v := &s.Catalogue.Services[i]
+		s.services[v.ID] = v
+	}
+	for i := range s.Catalogue.DataCentres {
+		d := &s.Catalogue.DataCentres[i]
+		s.dataCentres[d.ID] = d
+	}
+	for _, o := range s.Catalogue.Instances {
+		s.overrides[o.ID] = o.State
+	}
+	for i := range s.Catalogue.Entries {
+		s.entries = append(s.entries, &s.Catalogue.Entries[i])
+	}
+	slices.SortStableFunc(s.entries, func(a, b *Entry) int {
+		return len(b.PathPrefix) - len(a.PathPrefix)
+	})
+}
+
+func (s *Snapshot) indexInstances() {
+	for i := range s.List.Instances {
+		n := &s.List.Instances[i]
+		s.instances[n.ID] = n
+		s.byService[n.Service] = append(s.byService[n.Service], n)
+	}
+}
+
+// Versions returns the versions of the two documents.
+func (s *Snapshot) Versions() Versions {
+	return s.Stamps.Versions()
+}
+
+// Match returns the entry that a request's method and path select, or nil.
+func (s *Snapshot) Match(m, p string) *Entry {
+	for _, e := range s.entries {
+		if strings.HasPrefix(p, e.PathPrefix) && (len(e.Methods) == 0 || slices.Contains(e.Methods, m)) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Service returns the service with the ID d, or nil.
+func (s *Snapshot) Service(d ServiceID) *Service {
+	return s.services[d]
+}
+
+// DataCentre returns the data centre with the ID d, or nil.
+func (s *Snapshot) DataCentre(d DataCentreID) *DataCentre {
+	return s.dataCentres[d]
+}
+
+// Instance returns the listed instance with the ID d, or nil.
+func (s *Snapshot) Instance(d InstanceID) *Instance {
+	return s.instances[d]
+}
+
+// Instances returns the listed instances of the service d, sorted by ID. The
+// caller must not change the slice.
+func (s *Snapshot) Instances(d ServiceID) []*Instance {
+	return s.byService[d]
+}
+
+// Eligible reports whether the instance n may be given new work: the platform
+// lists it as live, and the operators have it and its data centre in service.
+func (s *Snapshot) Eligible(n *Instance) bool {
+	if n == nil || n.State != InstanceLive || s.overrides[n.ID] == OutOfService {
+		return false
+	}
+	d := s.dataCentres[n.DataCentre]
+	return d != nil && d.State == InService
+}
--- /dev/null
+++ b/versions.go
@@ -0,0 +1,20 @@
+package lavenderridge
+
+// Versions holds the version of each document that a daemon has in force.
+type Versions struct {
+	Catalogue    Version
+	InstanceList Version
+}
+
+// Covers reports whether v is as new as o in both documents.
+func (v Versions) Covers(o Versions) bool {
+	return v.Catalogue >= o.Catalogue && v.InstanceList >= o.InstanceList
+}
+
+// Max returns the newer version of each document.
+func (v Versions) Max(o Versions) Versions {
+	return Versions{
+		Catalogue:    max(v.Catalogue, o.Catalogue),
+		InstanceList: max(v.InstanceList, o.InstanceList),
+	}
+}
