Build one thin path from end to end

Caller -> entry daemon (kratos HTTP) -> QUIC stream with mutual TLS -> owner daemon -> backend server, with the catalogue (TOML) and the instance list (JSON) watched at a stand-in configuration service and swapped through one atomic pointer.

Every daemon watches the source itself for now; this is the baseline that dissemination between daemons has to beat.

--- /dev/null
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -0,0 +1,212 @@
+package lavenderridge_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/standin/configservice"
+	"github.com/lavenderridge/lavenderridge/internal/transport/callerhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/instancesjson"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+const endToEndCatalogue = `
+[[DataCentres]]
+ID = "fukuoka"
+Region = "kyushu"
+State = "%s"
+
+[[DataCentres]]
+ID = "kumamoto"
+Region = "kyushu"
+State = "InService"
+
+[[Services]]
+ID = "roster"
+Slots = 10
+Connections = 130
+Queue = 20
+
+[[Entries]]
+ID = "roster"
+Owner = "courses"
+Class = "Normal"
+Service = "roster"
+PathPrefix = "/roster"
+Idempotent = true
+Timeout = "2s"
+`
+
+// process is one daemon with its stand-in backend server.
+type process struct {
+	instance lavenderridge.Instance
+	backend  *backendserver.Server
+	command  *exec.Cmd
+	caller   string
+	operator string
+	output   *bytes.Buffer
+}
+
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), "lavenderridge")
+	b, e := exec.Command("go", "build", "-o", p, "github.com/lavenderridge/lavenderridge/cmd/lavenderridge").CombinedOutput()
+	if e != nil {
+		t.Fatalf("build: %v\n%s", e, b)
+	}
+	return p
+}
+
+func freeAddress(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		c, e := net.ListenPacket("udp", "127.0.0.1:0")
+		if e != nil {
+			t.Fatal(e)
+		}
+		defer func() { _ = c.Close() }()
+		return c.LocalAddr().String()
+	}
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startProcess(t *testing.T, binary, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
+	t.Helper()
+	d := t.TempDir()
+	c, e := a.Issue(peertls.Identity{Instance: n.ID, DataCentre: n.DataCentre}, time.Now(), time.Hour)
+	if e != nil {
+		t.Fatal(e)
+	}
+	k, e := peertls.EncodeKey(c)
+	if e != nil {
+		t.Fatal(e)
+	}
+	write := func(f string, b []byte) string {
+		p := filepath.Join(d, f)
+		if e := os.WriteFile(p, b, 0o600); e != nil {
+			t.Fatal(e)
+		}
+		return p
+	}
+	b := backendserver.NewServer(n.ID, 10, 2*time.Millisecond)
+	h := httptest.NewServer(b)
+	t.Cleanup(h.Close)
+	p := &process{instance: n, backend: b, caller: freeAddress(t, "tcp"), operator: freeAddress(t, "tcp"), output: &bytes.Buffer{}}
+	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\nConfigService = %q\nBackend = %q\nCaller = %q\nPeer = %q\nOperator = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
+		n.ID, n.DataCentre, n.Service, source, strings.TrimPrefix(h.URL, "http://"), p.caller, n.Peer, p.operator,
+		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
+	p.command = exec.Command(binary, "serve", write("settings.toml", []byte(s)))
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if e := p.command.Start(); e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() {
+		_ = p.command.Process.Signal(syscall.SIGTERM)
+		if e := p.command.Wait(); e != nil {
+			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
+		}
+	})
+	return p
+}
+
+func get(u string) (status int, servedBy, body string, e error) {
+	c := http.Client{Timeout: 5 * time.Second}
+	r, e := c.Get(u)
+	if e != nil {
+		return 0, "", "", e
+	}
+	defer func() { _ = r.Body.Close() }()
+	b, e := io.ReadAll(r.Body)
+	return r.StatusCode, r.Header.Get(callerhttp.TargetHeader), string(b), e
+}
+
+func eventually(t *testing.T, limit time.Duration, what string, f func() bool) {
+	t.Helper()
+	for d := time.Now().Add(limit); time.Now().Before(d); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", limit, what)
+}
+
+// TestEndToEnd runs four daemons as separate processes in two data centres,
+// sends requests and takes a data centre out of service.
+func TestEndToEnd(t *testing.T) {
+	binary := buildBinary(t)
+	source := configservice.NewServer(0)
+	h := httptest.NewServer(source)
+	t.Cleanup(h.Close)
+	a, e := peertls.NewAuthority(time.Now(), time.Hour)
+	if e != nil {
+		t.Fatal(e)
+	}
+	var l lavenderridge.InstanceList
+	for i, d := range []lavenderridge.DataCentreID{"fukuoka", "fukuoka", "kumamoto", "kumamoto"} {
+		l.Instances = append(l.Instances, lavenderridge.Instance{
+			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: d, Service: "roster",
+			Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+		})
+	}
+	b, e := instancesjson.Format(&l)
+	if e != nil {
+		t.Fatal(e)
+	}
+	source.Publish(lavenderridge.DocumentInstanceList, b)
+	source.Publish(lavenderridge.DocumentCatalogue, fmt.Appendf(nil, endToEndCatalogue, lavenderridge.InService))
+	var all []*process
+	for _, n := range l.Instances {
+		all = append(all, startProcess(t, binary, strings.TrimPrefix(h.URL, "http://"), a, n))
+	}
+	for _, p := range all {
+		eventually(t, 10*time.Second, string(p.instance.ID)+" answers", func() bool {
+			s, _, _, e := get("http://" + p.caller + "/roster/1")
+			return e == nil && s == http.StatusOK
+		})
+	}
+	served := map[string]int{}
+	for i := range 80 {
+		s, n, x, e := get(fmt.Sprintf("http://%s/roster/%d", all[i%4].caller, i))
+		if e != nil || s != http.StatusOK || !strings.HasPrefix(x, n) {
+			t.Fatalf("status %d from %q, body %q, error %v", s, n, x, e)
+		}
+		served[n]++
+	}
+	if len(served) != 4 {
+		t.Errorf("served by %v; want all four instances", served)
+	}
+
+	v := source.Publish(lavenderridge.DocumentCatalogue, fmt.Appendf(nil, endToEndCatalogue, lavenderridge.OutOfService))
+	published := time.Now()
+	for _, p := range all {
+		eventually(t, 6*time.Second, "new version in force", func() bool {
+			_, _, x, e := get("http://" + p.operator + "/status")
+			return e == nil && strings.Contains(x, fmt.Sprintf(`"Catalogue":%d`, v))
+		})
+	}
+	t.Logf("in force at four daemons after %s", time.Since(published).Round(time.Millisecond))
+	for i := range 40 {
+		s, n, _, e := get(fmt.Sprintf("http://%s/roster/%d", all[i%4].caller, i))
+		if e != nil || s != http.StatusOK || (n != "roster-2" && n != "roster-3") {
+			t.Fatalf("status %d from %q, error %v; want an instance in kumamoto", s, n, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cmd/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks a daemon's settings file.
+package settings
--- /dev/null
+++ b/internal/daemon/assembly/daemon.go
@@ -0,0 +1,138 @@
+package assembly
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
+	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peerquic"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+// A Daemon is the process beside one backend server.
+type Daemon struct {
+	config      Config
+	log         *zap.Logger
+	clock       lavenderridge.Clock
+	incarnation lavenderridge.Incarnation
+
+	transport     *peerquic.Transport
+	server        *peerquic.Server
+	configuration *configPart
+	owner         *ownerPart
+	home          *homePart
+	entry         *entryPart
+	operator      *operatorPart
+	closers       []func() error
+}
+
+// NewDaemon returns a daemon with the settings f and the keys k. Its sockets
+// are open when it returns.
+func NewDaemon(c context.Context, f Config, k *peertls.Keys, o ...Option) (*Daemon, error) {
+	d := &Daemon{config: f, log: zap.NewNop(), clock: SystemClock{}}
+	for _, v := range o {
+		v(d)
+	}
+	d.incarnation = lavenderridge.Incarnation(d.clock.Now().UnixNano())
+	if e := d.open(c, k); e != nil {
+		return nil, errors.Join(e, d.close())
+	}
+	return d, nil
+}
+
+func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
+	if d.transport, e = peerquic.NewTransport(d.config.Peer, k); e != nil {
+		return e
+	}
+	d.closeLater(d.transport.Close)
+	if d.configuration, e = newConfigPart(c, d); e != nil {
+		return e
+	}
+	if d.owner, e = newOwnerPart(c, d); e != nil {
+		return e
+	}
+	d.home = newHomePart(d)
+	d.server = peerquic.NewServer(d.transport, peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper))
+	if d.entry, e = newEntryPart(d); e != nil {
+		return e
+	}
+	d.operator, e = newOperatorPart(d)
+	return e
+}
+
+// Run serves until c ends, and then stops without cutting a running request.
+func (d *Daemon) Run(c context.Context) error {
+	g, c := errgroup.WithContext(c)
+	p, f := context.WithCancel(context.WithoutCancel(c))
+	defer f()
+	g.Go(func() error { return d.configuration.run(c) })
+	g.Go(func() error { return d.operator.run(c) })
+	g.Go(func() error {
+		// The peer server outlives the caller server, whose last requests need
+		// its connections.
+		defer f()
+		return d.entry.server.Run(c, d.config.StopTimeout)
+	})
+	g.Go(func() error { return d.server.Serve(p) })
+	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
+	e := g.Wait()
+	d.log.Info("DaemonStopped", zap.Error(e))
+	return errors.Join(e, d.close())
+}
+
+// Status returns what the daemon says of itself.
+func (d *Daemon) Status() operatorhttp.Status {
+	s := operatorhttp.Status{
+		Instance: d.config.Instance, DataCentre: d.config.DataCentre, Service: d.config.Service,
+		Incarnation: d.incarnation, Load: d.owner.load(),
+		Ready: d.configuration.Ready(d.clock.Now()) == nil,
+	}
+	if n := d.configuration.store.Snapshot(); n != nil {
+		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
+	}
+	return s
+}
+
+// CallerAddress returns where the daemon answers callers.
+func (d *Daemon) CallerAddress() lavenderridge.Address {
+	u, e := d.entry.server.Endpoint()
+	if e != nil {
+		return ""
+	}
+	return lavenderridge.Address(u.Host)
+}
+
+// PeerAddress returns where the daemon answers other daemons.
+func (d *Daemon) PeerAddress() lavenderridge.Address {
+	return d.transport.Address()
+}
+
+func (d *Daemon) sender() lavenderridge.Sender {
+	s := lavenderridge.Sender{
+		Instance: d.config.Instance, DataCentre: d.config.DataCentre, Incarnation: d.incarnation,
+	}
+	if n := d.configuration.store.Snapshot(); n != nil {
+		s.Stamps = n.Stamps
+	}
+	return s
+}
+
+func (d *Daemon) closeLater(f func() error) {
+	d.closers = append(d.closers, f)
+}
+
+func (d *Daemon) close() error {
+	var a []error
+	for _, f := range d.closers {
+		if e := f(); e != nil && !errors.Is(e, net.ErrClosed) {
+			a = append(a, e)
+		}
+	}
+	return errors.Join(a...)
+}
--- /dev/null
+++ b/internal/daemon/assembly/doc.go
@@ -0,0 +1,2 @@
+// Package assembly joins the parts of a daemon and runs them.
+package assembly
--- /dev/null
+++ b/internal/daemon/assembly/option.go
@@ -0,0 +1,20 @@
+package assembly
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// An Option changes a Daemon.
+type Option func(*Daemon)
+
+// WithLogger makes the daemon log to l; the default logs nothing.
+func WithLogger(l *zap.Logger) Option {
+	return func(d *Daemon) { d.log = l }
+}
+
+// WithClock makes the daemon read the clock k.
+func WithClock(k lavenderridge.Clock) Option {
+	return func(d *Daemon) { d.clock = k }
+}
--- /dev/null
+++ b/internal/daemon/assembly/ownerpart.go
@@ -0,0 +1,31 @@
+package assembly
+
+import (
+	"context"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
+	backendpolicy "github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
+)
+
+// ownerPart admits work to the daemon's own backend server.
+type ownerPart struct {
+	gate    *backendpolicy.SlotGate
+	handler lavenderridge.Handler
+}
+
+func newOwnerPart(c context.Context, d *Daemon) (*ownerPart, error) {
+	b, e := backendhttp.NewClient(c, d.config.Backend, d.config.Connections, d.config.MaxBody)
+	if e != nil {
+		return nil, e
+	}
+	d.closeLater(b.Close)
+	g := backendpolicy.NewSlotGate()
+	h := backendserver.NewOwnerHandler(d.configuration.store, g, d.sender, b)
+	return &ownerPart{gate: g, handler: h}, nil
+}
+
+func (p *ownerPart) load() lavenderridge.Load {
+	return lavenderridge.Load{InFlight: p.gate.InFlight()}
+}
--- /dev/null
+++ b/internal/daemon/assembly/systemclock.go
@@ -0,0 +1,17 @@
+package assembly
+
+import (
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// A SystemClock reads the clock of the machine.
+type SystemClock struct{}
+
+var _ lavenderridge.Clock = SystemClock{}
+
+// Now implements lavenderridge.Clock.
+func (SystemClock) Now() time.Time {
+	return time.Now()
+}
--- /dev/null
+++ b/internal/daemon/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer answers other daemons.
+package peer
--- /dev/null
+++ b/internal/daemon/peer/exchanger.go
@@ -0,0 +1,13 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// An Exchanger answers the calls that spread configuration.
+type Exchanger interface {
+	Exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error)
+	Pull(c context.Context, q *lavenderridge.PullRequest) (*lavenderridge.PullReply, error)
+}
--- /dev/null
+++ b/internal/daemon/peer/homekeeper.go
@@ -0,0 +1,13 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// A HomeKeeper answers the calls that move the homes of keyed requests.
+type HomeKeeper interface {
+	Activate(c context.Context, q *lavenderridge.ActivationRequest) (*lavenderridge.ActivationReply, error)
+	HandOver(c context.Context, q *lavenderridge.HandOver) (*lavenderridge.HandOverReply, error)
+}
--- /dev/null
+++ b/internal/policy/backendserver/doc.go
@@ -0,0 +1,3 @@
+// Package backendserver decides what a daemon lets its own backend server
+// bear.
+package backendserver
--- /dev/null
+++ b/internal/policy/caller/doc.go
@@ -0,0 +1,3 @@
+// Package caller decides where callers' requests go, how often they are tried
+// and what callers are told.
+package caller
--- /dev/null
+++ b/internal/transport/backendhttp/doc.go
@@ -0,0 +1,3 @@
+// Package backendhttp runs requests at the daemon's own backend server over
+// HTTP.
+package backendhttp
--- /dev/null
+++ b/internal/transport/cataloguetoml/parse.go
@@ -0,0 +1,70 @@
+package cataloguetoml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// Parse returns the catalogue in b. Its error is lavenderridge.Findings with
+// every fault of form, each with its line or key path.
+func Parse(b []byte) (*lavenderridge.Catalogue, error) {
+	var v file
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	if e := d.Decode(&v); e != nil {
+		return nil, decodeFindings(e)
+	}
+	var f lavenderridge.Findings
+	c := v.catalogue(&f)
+	return c, f.Err()
+}
+
+func decodeFindings(e error) lavenderridge.Findings {
+	var f lavenderridge.Findings
+	var s *toml.StrictMissingError
+	var d *toml.DecodeError
+	switch {
+	case errors.As(e, &s):
+		for _, v := range s.Errors {
+			l, _ := v.Position()
+			f.Add(place(l, v.Key()), "unknown name")
+		}
+	case errors.As(e, &d):
+		l, _ := d.Position()
+		f.Add(place(l, d.Key()), "%s", d.Error())
+	default:
+		f.Add("catalogue", "%v", e)
+	}
+	return f
+}
+
+func place(l int, k toml.Key) string {
+	return fmt.Sprintf("line %d: %s", l, joinKey(k))
+}
+
+func joinKey(k toml.Key) string {
+	var b bytes.Buffer
+	for i, s := range k {
+		if i > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(s)
+	}
+	return b.String()
+}
+
+func duration(f *lavenderridge.Findings, p, s string) time.Duration {
+	if s == "" {
+		return 0
+	}
+	d, e := time.ParseDuration(s)
+	if e != nil {
+		f.Add(p, "%q is not a duration such as \"250ms\" or \"2s\"", s)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/transport/confighttp/client.go
@@ -0,0 +1,91 @@
+package confighttp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// VersionHeader is the response header with a document's version.
+const VersionHeader = "X-Document-Version"
+
+const (
+	maxDocument   = lavenderridge.Mebibyte
+	responseGrace = 5 * time.Second
+)
+
+// A Client reads the configuration service.
+type Client struct {
+	http    *kratoshttp.Client
+	address lavenderridge.Address
+	pool    *http.Transport
+}
+
+var _ lavenderridge.ConfigService = (*Client)(nil)
+
+// NewClient returns a client of the configuration service at the address a.
+func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
+	p := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}
+	h, e := kratoshttp.NewClient(c,
+		kratoshttp.WithTransport(p),
+		kratoshttp.WithTimeout(0),
+		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
+	)
+	if e != nil {
+		return nil, fmt.Errorf("confighttp: %w", e)
+	}
+	return &Client{http: h, address: a, pool: p}, nil
+}
+
+// Read implements lavenderridge.ConfigService.
+func (l *Client) Read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (*lavenderridge.Document, error) {
+	c, f := context.WithTimeout(c, w+responseGrace)
+	defer f()
+	q := url.Values{"after": {strconv.FormatUint(uint64(v), 10)}, "wait": {w.String()}}
+	u := fmt.Sprintf("http://%s/v1/documents/%s?%s", l.address, d, q.Encode())
+	r, e := http.NewRequestWithContext(c, http.MethodGet, u, http.NoBody)
+	if e != nil {
+		return nil, fmt.Errorf("confighttp: %w", e)
+	}
+	p, e := l.http.Do(r)
+	if e != nil {
+		return nil, fmt.Errorf("confighttp: read %s: %w", d, e)
+	}
+	defer func() { _ = p.Body.Close() }()
+	return decode(d, p)
+}
+
+func decode(d lavenderridge.DocumentName, p *http.Response) (*lavenderridge.Document, error) {
+	if p.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
+	if p.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("confighttp: read %s: status %d", d, p.StatusCode)
+	}
+	v, e := strconv.ParseUint(p.Header.Get(VersionHeader), 10, 64)
+	if e != nil || v == 0 {
+		return nil, fmt.Errorf("confighttp: read %s: bad %s header %q", d, VersionHeader, p.Header.Get(VersionHeader))
+	}
+	b, e := io.ReadAll(io.LimitReader(p.Body, int64(maxDocument)+1))
+	if e != nil {
+		return nil, fmt.Errorf("confighttp: read %s: %w", d, e)
+	}
+	if lavenderridge.ByteCount(len(b)) > maxDocument {
+		return nil, fmt.Errorf("confighttp: read %s: more than %d bytes", d, maxDocument)
+	}
+	return &lavenderridge.Document{Name: d, Version: lavenderridge.Version(v), Body: b}, nil
+}
+
+// Close ends idle connections.
+func (l *Client) Close() error {
+	l.pool.CloseIdleConnections()
+	return l.http.Close()
+}
--- /dev/null
+++ b/internal/transport/peerquic/kind.go
@@ -0,0 +1,27 @@
+package peerquic
+
+// kind tells which call a stream carries.
+type kind byte
+
+const (
+	kindHandle kind = iota + 1
+	kindExchange
+	kindPull
+	kindActivate
+	kindHandOver
+)
+
+// status tells what a reply carries.
+type status byte
+
+const (
+	statusReply status = iota + 1
+	statusRefusal
+)
+
+const (
+	protocol = "lavenderridge/1"
+
+	codeCancelled = 1
+	codeClosed    = 2
+)
--- /dev/null
+++ b/internal/transport/peertls/pem.go
@@ -0,0 +1,22 @@
+package peertls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+)
+
+// EncodeCertificate returns the PEM form of the first certificate of c.
+func EncodeCertificate(b []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: b})
+}
+
+// EncodeKey returns the PEM form of the private key of c.
+func EncodeKey(c *tls.Certificate) ([]byte, error) {
+	b, e := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
+	if e != nil {
+		return nil, fmt.Errorf("peertls: %w", e)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: b}), nil
+}
