Give each area of the daemon a part of its own

The assembly is one file for each area, with no-op stand-ins for what the areas give each other (recorder, observer, suspects, leaving), so that work on them can go on side by side.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -21,6 +22,9 @@
 	log         *zap.Logger
 	clock       lavenderridge.Clock
 	incarnation lavenderridge.Incarnation
+	recorder    lavenderridge.Recorder
+	observer    lavenderridge.Observer
+	metrics     metrics.Registry
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
@@ -35,7 +39,10 @@
 // NewDaemon returns a daemon with the settings f and the keys k. Its sockets
 // are open when it returns.
 func NewDaemon(c context.Context, f Config, k *peertls.Keys, o ...Option) (*Daemon, error) {
-	d := &Daemon{config: f, log: zap.NewNop(), clock: SystemClock{}}
+	d := &Daemon{
+		config: f, log: zap.NewNop(), clock: SystemClock{},
+		recorder: discard{}, observer: discard{}, metrics: metrics.NewRegistry(),
+	}
 	for _, v := range o {
 		v(d)
 	}
@@ -90,7 +97,7 @@
 func (d *Daemon) Status() operatorhttp.Status {
 	s := operatorhttp.Status{
 		Instance: d.config.Instance, DataCentre: d.config.DataCentre, Service: d.config.Service,
-		Incarnation: d.incarnation, Load: d.owner.load(),
+		Incarnation: d.incarnation, Load: d.owner.load(), Leaving: d.owner.leaving(),
 		Ready: d.configuration.Ready(d.clock.Now()) == nil,
 	}
 	if n := d.configuration.store.Snapshot(); n != nil {
@@ -123,6 +130,11 @@
 	return s
 }
 
+// peers returns the way to other daemons.
+func (d *Daemon) peers() lavenderridge.PeerDialer {
+	return d.transport
+}
+
 func (d *Daemon) closeLater(f func() error) {
 	d.closers = append(d.closers, f)
 }
--- /dev/null
+++ b/internal/daemon/assembly/discard.go
@@ -0,0 +1,28 @@
+package assembly
+
+import (
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// discard keeps nothing of what it is told.
+type discard struct{}
+
+var (
+	_ lavenderridge.Recorder     = discard{}
+	_ lavenderridge.Observer     = discard{}
+	_ lavenderridge.SuspectStore = discard{}
+)
+
+// Record implements lavenderridge.Recorder.
+func (discard) Record(lavenderridge.Decision) {}
+
+// Observe implements lavenderridge.Observer.
+func (discard) Observe(lavenderridge.Observation) {}
+
+// Suspects implements lavenderridge.SuspectStore.
+func (discard) Suspects(time.Time) []lavenderridge.Suspect { return nil }
+
+// Merge implements lavenderridge.SuspectStore.
+func (discard) Merge([]lavenderridge.Suspect, time.Time) {}
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -11,8 +11,9 @@
 
 // ownerPart admits work to the daemon's own backend server.
 type ownerPart struct {
-	gate    *backendpolicy.SlotGate
-	handler lavenderridge.Handler
+	gate     *backendpolicy.SlotGate
+	handler  lavenderridge.Handler
+	suspects lavenderridge.SuspectStore
 }
 
 func newOwnerPart(c context.Context, d *Daemon) (*ownerPart, error) {
@@ -23,9 +24,14 @@
 	d.closeLater(b.Close)
 	g := backendpolicy.NewSlotGate()
 	h := backendserver.NewOwnerHandler(d.configuration.store, g, d.sender, b)
-	return &ownerPart{gate: g, handler: h}, nil
+	return &ownerPart{gate: g, handler: h, suspects: discard{}}, nil
 }
 
 func (p *ownerPart) load() lavenderridge.Load {
 	return lavenderridge.Load{InFlight: p.gate.InFlight()}
 }
+
+// leaving reports whether the daemon takes no new work because it stops.
+func (p *ownerPart) leaving() bool {
+	return false
+}
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -13,7 +13,9 @@
 	Service     lavenderridge.ServiceID
 	Incarnation lavenderridge.Incarnation
 	Ready       bool
-	Versions    lavenderridge.Versions
-	AcceptedAt  time.Time
-	Load        lavenderridge.Load
+	// Leaving tells that the daemon takes no new work because it stops.
+	Leaving    bool
+	Versions   lavenderridge.Versions
+	AcceptedAt time.Time
+	Load       lavenderridge.Load
 }
