Spread versions between neighbours in place of every daemon watching

Cause: every daemon watched the source, so its calls grew with the fleet and a restart of all daemons asked everything at once.

Two live instances of each data centre, by rendezvous hash, watch the source. Everyone else gets versions from about 4 neighbours in its data centre and 2 outside, plus those that chose it: announced at once, compared once a second with one in turn, pulled as a delta. Messages between daemons carry the versions, and a higher one on any of them starts a pull. A gate keeps work away until a new or a paused daemon has asked. A daemon that holds nothing learns from whoever calls it, so a source outage does not keep a replaced instance out.

Ruled out: electing a reader (needs agreement), a tree over the fleet (repair is slower than a graph's), pushing the delta with the announcement (sent once for each link, needed once for each daemon).

Not proved yet: the state machine, the process tests and the fuzz targets come next.

--- /dev/null
+++ b/internal/cmd/convergence/fleet.go
@@ -0,0 +1,159 @@
+package convergence
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/standin/configservice"
+	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+const (
+	loopback      lavenderridge.Address = "127.0.0.1:0"
+	readHeaders                         = 5 * time.Second
+	keyLifetime                         = 24 * time.Hour
+	stopTimeout                         = time.Second
+	maxBody                             = lavenderridge.Mebibyte
+	pollInterval                        = 10 * time.Millisecond
+	convergeLimit                       = 60 * time.Second
+)
+
+// fleet is a number of daemons with one source.
+type fleet struct {
+	plan      Plan
+	options   []assembly.Option
+	authority *peertls.Authority
+	source    *configservice.Server
+	http      *http.Server
+	address   lavenderridge.Address
+	instances []lavenderridge.Instance
+	keys      []*peertls.Keys
+	daemons   []*assembly.Daemon
+	stop      context.CancelFunc
+	running   sync.WaitGroup
+	revision  int
+}
+
+func newFleet(p Plan, n int, o ...assembly.Option) (*fleet, error) {
+	a, e := peertls.NewAuthority(time.Now(), keyLifetime)
+	if e != nil {
+		return nil, e
+	}
+	l, e := net.Listen("tcp", string(loopback))
+	if e != nil {
+		return nil, fmt.Errorf("convergence: %w", e)
+	}
+	f := &fleet{
+		plan: p, options: o, authority: a, source: configservice.NewServer(0),
+		address: lavenderridge.Address(l.Addr().String()),
+	}
+	f.http = &http.Server{Handler: f.source, ReadHeaderTimeout: readHeaders}
+	go func() { _ = f.http.Serve(l) }()
+	for i := range n {
+		if e := f.add(i); e != nil {
+			return nil, e
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) add(i int) error {
+	v := lavenderridge.Instance{
+		ID: lavenderridge.InstanceID(fmt.Sprintf("instance-%05d", i)), DataCentre: dataCentre(i),
+		Service: service(i, f.plan.Services), Peer: loopback, State: lavenderridge.InstanceLive,
+	}
+	c, e := f.authority.Issue(peertls.Identity{Instance: v.ID, DataCentre: v.DataCentre}, time.Now(), keyLifetime)
+	if e != nil {
+		return e
+	}
+	f.instances = append(f.instances, v)
+	f.keys = append(f.keys, peertls.NewKeys(c, f.authority.Pool()))
+	return nil
+}
+
+// start opens all daemons, publishes both documents if there are none yet, and
+// lets all daemons run at once.
+func (f *fleet) start(c context.Context) error {
+	c, f.stop = context.WithCancel(c)
+	f.daemons = f.daemons[:0]
+	for i := range f.instances {
+		n := &f.instances[i]
+		d, e := assembly.NewDaemon(c, assembly.Config{
+			Instance: n.ID, DataCentre: n.DataCentre, Service: n.Service, ConfigService: f.address,
+			Backend: "127.0.0.1:1", Connections: 1, Caller: loopback, Peer: n.Peer, Operator: loopback,
+			MaxBody: maxBody, StopTimeout: stopTimeout, FleetSize: f.plan.Listed,
+		}, f.keys[i], f.options...)
+		if e != nil {
+			return e
+		}
+		n.Peer = d.PeerAddress()
+		f.daemons = append(f.daemons, d)
+	}
+	if f.revision == 0 {
+		if e := f.publishBoth(); e != nil {
+			return e
+		}
+	}
+	for _, d := range f.daemons {
+		f.running.Go(func() { _ = d.Run(c) })
+	}
+	return nil
+}
+
+func (f *fleet) publishBoth() error {
+	if _, e := f.publish(lavenderridge.DocumentInstanceList); e != nil {
+		return e
+	}
+	_, e := f.publish(lavenderridge.DocumentCatalogue)
+	return e
+}
+
+// publish publishes a change of the document d.
+func (f *fleet) publish(d lavenderridge.DocumentName) (lavenderridge.Version, error) {
+	f.revision++
+	b := catalogue(f.plan.Services, f.revision)
+	if d == lavenderridge.DocumentInstanceList {
+		var e error
+		if b, e = instances(f.instances, f.plan.Listed, f.plan.Services, f.revision); e != nil {
+			return 0, e
+		}
+	}
+	return f.source.Publish(d, b), nil
+}
+
+// await waits until p holds of every daemon's status and returns how long each
+// took from t, by the function g.
+func (f *fleet) await(t time.Time, p func(*operatorhttp.Status) bool, g func(*operatorhttp.Status) time.Time) Latencies {
+	a := make([]time.Duration, 0, len(f.daemons))
+	k := make([]bool, len(f.daemons))
+	for time.Since(t) < convergeLimit && len(a) < len(f.daemons) {
+		time.Sleep(pollInterval)
+		for i, d := range f.daemons {
+			if k[i] {
+				continue
+			}
+			if s := d.Status(); p(&s) {
+				k[i] = true
+				a = append(a, g(&s).Sub(t))
+			}
+		}
+	}
+	return newLatencies(a, len(f.daemons)-len(a))
+}
+
+func (f *fleet) halt() {
+	f.stop()
+	f.running.Wait()
+}
+
+func (f *fleet) close() {
+	f.halt()
+	_ = f.http.Close()
+}
--- /dev/null
+++ b/internal/cmd/lavenderridge/measureconvergencecmd.go
@@ -0,0 +1,72 @@
+package lavenderridge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lavenderridge/lavenderridge/internal/cmd/convergence"
+)
+
+// measureConvergenceCmd measures how fast a fleet takes on a change.
+type measureConvergenceCmd struct {
+	clause *kingpin.CmdClause
+	out    io.Writer
+	plan   convergence.Plan
+	json   bool
+}
+
+var _ command = (*measureConvergenceCmd)(nil)
+
+func newMeasureConvergenceCmd(a *kingpin.Application, w io.Writer) command {
+	p := a.GetCommand("measure")
+	if p == nil {
+		p = a.Command("measure", "Measure the system on this machine.")
+	}
+	m := &measureConvergenceCmd{out: w, clause: p.Command("convergence", "Measure convergence, control bytes and source calls of fleets on loopback.")}
+	m.clause.Flag("size", "Number of daemons; may be given several times.").Default("8", "16", "32", "64", "128").IntsVar(&m.plan.Sizes)
+	m.clause.Flag("listed", "Number of instances in the list, with or without a daemon.").Default("3500").IntVar(&m.plan.Listed)
+	m.clause.Flag("services", "Number of services in the catalogue.").Default("110").IntVar(&m.plan.Services)
+	m.clause.Flag("changes", "Number of changes of each document.").Default("10").IntVar(&m.plan.Changes)
+	m.clause.Flag("rest", "Time to observe the fleet at rest.").Default("15s").DurationVar(&m.plan.Rest)
+	m.clause.Flag("baseline", "Measure each size with every daemon watching the source as well.").Default("true").BoolVar(&m.plan.Baseline)
+	m.clause.Flag("json", "Print JSON.").BoolVar(&m.json)
+	return m
+}
+
+func (m *measureConvergenceCmd) name() string {
+	return m.clause.FullCommand()
+}
+
+func (m *measureConvergenceCmd) run(c context.Context) error {
+	if m.json {
+		j := json.NewEncoder(m.out)
+		return convergence.Run(c, m.plan, func(r convergence.Report) { _ = j.Encode(r) })
+	}
+	_, _ = fmt.Fprintf(m.out, "%d listed instances, %d services, %d changes of each document; bytes are UDP, sent and received, with headers\n", m.plan.Listed, m.plan.Services, m.plan.Changes)
+	_, _ = fmt.Fprintln(m.out, "daemons mode       | catalogue p50/p99/max ms | list p50/p99/max ms | storm ready p50/max s | B/s rest  B/change  B/storm | per change: announce delta whole pull B | source calls/s rest, storm all, peak/s, refused | CPU rest %  ms/change | heap MB  RSS MB")
+	return convergence.Run(c, m.plan, m.print)
+}
+
+func (m *measureConvergenceCmd) print(r convergence.Report) {
+	_, _ = fmt.Fprintf(m.out, "%7d %-10s | %s | %s | %5.2f %5.2f | %6.0f %7.0f %8.0f | %5.1f %5.2f %5.2f %6.0f | %6.1f %6.0f %6.0f %4.0f | %6.3f %7.2f | %6.2f %6.2f\n",
+		r.Daemons, r.Mode, milliseconds(r.Catalogue), milliseconds(r.List), r.Storm.P50.Seconds(), r.Storm.Max.Seconds(),
+		r.RestBytes, r.ChangeBytes, r.StormBytes, r.Announcements, r.Deltas, r.Wholes, r.PullBytes,
+		r.RestCalls, r.StormCalls, r.StormPeak, r.Refused, 100*r.RestCPU, float64(r.ChangeCPU)/float64(time.Millisecond), r.Heap/1e6, r.Resident/1e6)
+}
+
+func milliseconds(l convergence.Latencies) string {
+	s := fmt.Sprintf("%6.0f %6.0f %6.0f", ms(l.P50), ms(l.P99), ms(l.Max))
+	if l.TimedOut > 0 {
+		s += fmt.Sprintf(" (%d timed out)", l.TimedOut)
+	}
+	return s
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -31,6 +31,7 @@
 	Caller        string
 	Peer          string
 	Operator      string
+	FleetSize     int
 	KeyFiles      keyFiles `toml:"Keys"`
 }
 
@@ -67,6 +68,7 @@
 		Operator:      lavenderridge.Address(s.Operator),
 		MaxBody:       defaultMaxBody,
 		StopTimeout:   defaultStopTimeout,
+		FleetSize:     s.FleetSize,
 	}
 }
 
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -19,4 +19,17 @@
 	Operator      lavenderridge.Address
 	MaxBody       lavenderridge.ByteCount
 	StopTimeout   time.Duration
+	// FleetSize is the number of daemons that are assumed to start at once
+	// while no instance list is known; zero means 500.
+	FleetSize int
+}
+
+// defaultFleetSize spreads the first reads of a fleet over a second.
+const defaultFleetSize = 500
+
+func (f *Config) fleetSize() int {
+	if f.FleetSize > 0 {
+		return f.FleetSize
+	}
+	return defaultFleetSize
 }
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -4,19 +4,29 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
 	configpolicy "github.com/lavenderridge/lavenderridge/internal/policy/configservice"
+	peerpolicy "github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/canonicalcbor"
 	"github.com/lavenderridge/lavenderridge/internal/transport/confighttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 )
 
 // configPart keeps the snapshot in force.
 type configPart struct {
-	store     *configpolicy.Store
-	watcher   *configservice.Watcher
-	exchanger peer.Exchanger
+	store         *configpolicy.Store
+	gate          *configpolicy.Gate
+	contact       *configpolicy.SourceContact
+	neighbourhood *peerpolicy.Neighbourhood
+	reader        *configservice.Reader
+	spreader      *peer.Spreader
+	exchanger     peer.Exchanger
+	clock         lavenderridge.Clock
+	sourceOnly    bool
 }
 
 var _ lavenderridge.Readiness = (*configPart)(nil)
@@ -27,22 +37,74 @@
 		return nil, e
 	}
 	d.closeLater(s.Close)
+	t := d.clock.Now()
 	p := &configPart{
-		store:     configpolicy.NewStore(canonicalcbor.NewCodec()),
-		exchanger: peer.NewIdlePeer(d.sender),
+		store:         configpolicy.NewStore(canonicalcbor.NewCodec()),
+		gate:          configpolicy.NewGate(t),
+		contact:       configpolicy.NewSourceContact(t),
+		neighbourhood: peerpolicy.NewNeighbourhood(d.config.Instance, d.config.DataCentre),
+		clock:         d.clock,
+		sourceOnly:    d.sourceOnly,
 	}
-	p.watcher = configservice.NewWatcher(s, configservice.NewAcceptor(p.store, confighttp.Parser{}, d.clock, d.recorder, d.log), d.log)
+	a := configservice.NewAcceptor(p.store, confighttp.Parser{}, d.clock, d.recorder, d.log)
+	p.spreader = newSpreader(d, p, a)
+	p.exchanger = p.spreader
+	p.reader = configservice.NewReader(s, p.store, a, p.gate, p.contact, d.clock, d.config.Instance, d.config.DataCentre, readerOptions(d, p)...)
 	return p, nil
 }
 
+func newSpreader(d *Daemon, p *configPart, a *configservice.Acceptor) *peer.Spreader {
+	return peer.NewSpreader(d.sender, p.store, a, p.gate, p.contact, p.neighbourhood, d.transport, d.clock,
+		peer.WithLogger(d.log),
+		peer.WithAddress(d.transport.Address()),
+		peer.WithRecorder(d.recorder),
+		peer.WithCounters(d.metrics),
+		peer.WithLeaving(func() bool { return d.owner.leaving() }),
+		peer.WithSuspects(lateSuspects{daemon: d}),
+	)
+}
+
+func readerOptions(d *Daemon, p *configPart) []func(*configservice.Reader) {
+	o := []func(*configservice.Reader){
+		configservice.WithLogger(d.log),
+		configservice.WithPeerHeard(p.neighbourhood.PeerHeard),
+		configservice.WithFleetSize(d.config.fleetSize()),
+	}
+	if d.sourceOnly {
+		o = append(o, configservice.WithEveryDaemonReading())
+	}
+	return o
+}
+
 // Ready implements lavenderridge.Readiness.
-func (p *configPart) Ready(time.Time) error {
-	if p.store.Snapshot() == nil {
+func (p *configPart) Ready(t time.Time) error {
+	s := p.store.Snapshot()
+	if s == nil {
 		return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonNotReady, "no configuration in force yet")
 	}
-	return nil
+	if p.sourceOnly {
+		return nil
+	}
+	return p.gate.Ready(s.Versions(), t)
 }
 
 func (p *configPart) run(c context.Context) error {
-	return p.watcher.Run(c)
+	if p.sourceOnly {
+		return p.reader.Run(c)
+	}
+	g, c := errgroup.WithContext(c)
+	g.Go(func() error { return p.reader.Run(c) })
+	g.Go(func() error { return p.spreader.Run(c) })
+	return g.Wait()
+}
+
+// status fills in what operators see of the configuration.
+func (p *configPart) status(s *operatorhttp.Status) {
+	t := p.clock.Now()
+	s.Catalogue = p.store.Acceptance(lavenderridge.DocumentCatalogue)
+	s.InstanceList = p.store.Acceptance(lavenderridge.DocumentInstanceList)
+	s.Rejections = p.store.Rejections()
+	s.SourceAge = p.contact.Age(t)
+	s.OwnSourceAge = p.contact.OwnAge(t)
+	s.Neighbours = p.neighbourhood.Neighbours(t)
 }
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -25,6 +25,7 @@
 	recorder    lavenderridge.Recorder
 	observer    lavenderridge.Observer
 	metrics     metrics.Registry
+	sourceOnly  bool
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
@@ -65,7 +66,7 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerquic.NewServer(d.transport, peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper))
+	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.configuration.spreader.Heard))
 	if d.entry, e = newEntryPart(d); e != nil {
 		return e
 	}
@@ -103,6 +104,7 @@
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 	}
+	d.configuration.status(&s)
 	return s
 }
 
@@ -132,7 +134,7 @@
 
 // peers returns the way to other daemons.
 func (d *Daemon) peers() lavenderridge.PeerDialer {
-	return d.transport
+	return peer.NewHearingDialer(d.transport, d.configuration.spreader.Heard)
 }
 
 func (d *Daemon) closeLater(f func() error) {
--- a/internal/daemon/assembly/option.go
+++ b/internal/daemon/assembly/option.go
@@ -18,3 +18,9 @@
 func WithClock(k lavenderridge.Clock) Option {
 	return func(d *Daemon) { d.clock = k }
 }
+
+// WithSourceOnly makes the daemon watch the source itself and exchange nothing
+// with other daemons. Measurements use it as a baseline.
+func WithSourceOnly() Option {
+	return func(d *Daemon) { d.sourceOnly = true }
+}
--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -81,3 +81,14 @@
 	}
 	a.log.Error(n, append(f, zap.Error(e))...)
 }
+
+// Heard reports a daemon that has a version in force with another digest than
+// here. It does nothing else, because only the source can settle that.
+func (a *Acceptor) Heard(s lavenderridge.Sender) {
+	for _, d := range []lavenderridge.DocumentName{lavenderridge.DocumentCatalogue, lavenderridge.DocumentInstanceList} {
+		o := configservice.Offer{Version: s.Stamps.Of(d).Version, Origin: lavenderridge.Origin(s.Instance), Time: a.clock.Now()}
+		if a.store.Conflicts(d, o, s.Stamps.Of(d)) {
+			a.report(d, o, configservice.VerdictConflict, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/configservice/reader.go
@@ -0,0 +1,177 @@
+package configservice
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
+)
+
+// skipInterval is the time after which a daemon that leaves the source alone
+// decides again.
+const skipInterval = 500 * time.Millisecond
+
+// A Reader reads the source when the read plan says so, and offers each
+// version to the acceptor.
+type Reader struct {
+	source   lavenderridge.ConfigService
+	store    *configservice.Store
+	acceptor *Acceptor
+	gate     *configservice.Gate
+	contact  *configservice.SourceContact
+	clock    lavenderridge.Clock
+	log      *zap.Logger
+
+	instance   lavenderridge.InstanceID
+	dataCentre lavenderridge.DataCentreID
+	peerHeard  func() time.Time
+	fleetSize  int
+	alwaysRead bool
+}
+
+// NewReader returns a reader of the source s for the daemon of the instance n
+// in the data centre d.
+func NewReader(s lavenderridge.ConfigService, t *configservice.Store, a *Acceptor, g *configservice.Gate, p *configservice.SourceContact, k lavenderridge.Clock, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, o ...func(*Reader)) *Reader {
+	r := &Reader{
+		source: s, store: t, acceptor: a, gate: g, contact: p, clock: k, log: zap.NewNop(),
+		instance: n, dataCentre: d, fleetSize: 1,
+		peerHeard: func() time.Time { return time.Time{} },
+	}
+	for _, f := range o {
+		f(r)
+	}
+	return r
+}
+
+// WithLogger makes a reader log to l.
+func WithLogger(l *zap.Logger) func(*Reader) {
+	return func(r *Reader) { r.log = l }
+}
+
+// WithFleetSize sets the number of daemons that are assumed to start at once
+// while no instance list is known; the default is 1.
+func WithFleetSize(n int) func(*Reader) {
+	return func(r *Reader) { r.fleetSize = n }
+}
+
+// WithPeerHeard makes a reader rely on neighbours that were last heard of when
+// f says.
+func WithPeerHeard(f func() time.Time) func(*Reader) {
+	return func(r *Reader) { r.peerHeard = f }
+}
+
+// WithEveryDaemonReading makes the daemon watch the source whatever the
+// instance list says. Measurements use it as a baseline.
+func WithEveryDaemonReading() func(*Reader) {
+	return func(r *Reader) { r.alwaysRead = true }
+}
+
+// Run reads until c ends.
+func (r *Reader) Run(c context.Context) error {
+	b := r.clock.Now()
+	r.first(c)
+	g, c := errgroup.WithContext(c)
+	for _, d := range []lavenderridge.DocumentName{lavenderridge.DocumentCatalogue, lavenderridge.DocumentInstanceList} {
+		g.Go(func() error { return r.watch(c, d, b) })
+	}
+	return g.Wait()
+}
+
+// first reads the instance list, which tells who the neighbours are.
+func (r *Reader) first(c context.Context) {
+	f := 0
+	for c.Err() == nil && r.store.List() == nil {
+		p := configservice.PlanFirstRead(configservice.ReadState{Failures: f}, r.fleetSize, rand.Float64())
+		if !sleep(c, p.Delay) {
+			return
+		}
+		f++
+		if v, e := r.read(c, lavenderridge.DocumentInstanceList, 0, p.Wait); e == nil && v == 0 {
+			r.log.Warn("SourceEmpty")
+		}
+	}
+}
+
+// watch reads the document d by the plan. The daemon started at the time b.
+func (r *Reader) watch(c context.Context, d lavenderridge.DocumentName, b time.Time) error {
+	var v lavenderridge.Version
+	f := 0
+	for c.Err() == nil {
+		p := configservice.PlanRead(r.state(d, b, f), rand.Float64())
+		if p.Skip {
+			sleep(c, skipInterval)
+			continue
+		}
+		if !sleep(c, p.Delay) || p.Wait == 0 && configservice.PlanRead(r.state(d, b, f), 0).Skip {
+			continue
+		}
+		n, e := r.read(c, d, max(v, r.store.Acceptance(d).Stamp.Version), p.Wait)
+		v = max(v, n)
+		f++
+		if e == nil {
+			f = 0
+		}
+	}
+	return nil
+}
+
+func (r *Reader) state(d lavenderridge.DocumentName, b time.Time, f int) configservice.ReadState {
+	t := r.clock.Now()
+	h := r.peerHeard()
+	if h.Before(b) {
+		h = b
+	}
+	s := configservice.ReadState{
+		Listed: true, Holds: r.store.Acceptance(d).Stamp.Version > 0, Reads: r.alwaysRead,
+		PeerAge: t.Sub(h), SourceAge: r.contact.Age(t), Failures: f,
+	}
+	if l := r.store.List(); l != nil {
+		s.Fleet = len(l.Instances)
+		s.Reads = s.Reads || slices.Contains(configservice.Readers(l, r.dataCentre), r.instance)
+	}
+	return s
+}
+
+// read makes one call and returns the version that came, or zero.
+func (r *Reader) read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (lavenderridge.Version, error) {
+	b := r.gate.Epoch()
+	p, e := r.source.Read(c, d, v, w)
+	if e != nil {
+		if c.Err() == nil {
+			r.log.Warn("SourceReadFailed", zap.String("Document", string(d)), zap.Error(e))
+		}
+		return 0, e
+	}
+	t := r.clock.Now()
+	r.contact.Answered(t)
+	var n lavenderridge.Version
+	if p != nil {
+		r.acceptor.Published(p)
+		n = p.Version
+	}
+	if s := r.store.Snapshot(); b > 1 && s != nil {
+		r.gate.Open(b, s.Versions(), t)
+	}
+	return n, nil
+}
+
+// sleep waits for d. It reports false when c ended.
+func sleep(c context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return c.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/policy/configservice/epoch.go
@@ -0,0 +1,4 @@
+package configservice
+
+// An Epoch counts how often a gate has been closed.
+type Epoch uint64
--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -134,6 +134,32 @@
 	s.remember(lavenderridge.Rejection{Document: d, Version: o.Version, Origin: o.Origin, Time: o.Time, Findings: f})
 }
 
+// Conflicts reports whether the stamp p has the version of the document d in
+// force with another digest, and remembers that. It reports the same conflict
+// with the same origin once.
+func (s *Store) Conflicts(d lavenderridge.DocumentName, o Offer, p lavenderridge.Stamp) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	h := s.list.acceptance.Stamp
+	if d == lavenderridge.DocumentCatalogue {
+		h = s.catalogue.acceptance.Stamp
+	}
+	if h.Version == 0 || compare(h, p) != VerdictConflict || s.rejected(d, o) {
+		return false
+	}
+	_, _ = s.settle(d, o, VerdictConflict, nil)
+	return true
+}
+
+func (s *Store) rejected(d lavenderridge.DocumentName, o Offer) bool {
+	for _, v := range s.rejections {
+		if v.Document == d && v.Version == o.Version && v.Origin == o.Origin {
+			return true
+		}
+	}
+	return false
+}
+
 // Rejections returns the versions that were rejected of late, oldest first.
 func (s *Store) Rejections() []lavenderridge.Rejection {
 	s.mutex.Lock()
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -18,4 +18,16 @@
 	Versions   lavenderridge.Versions
 	AcceptedAt time.Time
 	Load       lavenderridge.Load
+	// Catalogue and InstanceList tell when the versions in force were accepted
+	// and where they came from.
+	Catalogue    lavenderridge.Acceptance
+	InstanceList lavenderridge.Acceptance
+	// Rejections are the versions that did not come into force of late.
+	Rejections []lavenderridge.Rejection
+	// SourceAge is the time since any daemon had an answer from the source, as
+	// far as this one has heard.
+	SourceAge time.Duration
+	// OwnSourceAge is the time since this daemon had one.
+	OwnSourceAge time.Duration
+	Neighbours   []lavenderridge.Neighbour
 }
--- /dev/null
+++ b/internal/transport/peerquic/compact.go
@@ -0,0 +1,212 @@
+package peerquic
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const (
+	// minCompressed is the size from which on compression pays.
+	minCompressed = lavenderridge.Kibibyte
+	// maxDecompressed bounds what a compressed value may grow to.
+	maxDecompressed = 4 * lavenderridge.Mebibyte
+)
+
+// wireSender is the form of a sender in the messages that spread versions:
+// arrays in place of maps, because one goes out every second.
+type wireSender struct {
+	_            struct{} `cbor:",toarray"`
+	Instance     lavenderridge.InstanceID
+	DataCentre   lavenderridge.DataCentreID
+	Incarnation  lavenderridge.Incarnation
+	Catalogue    wireStamp
+	InstanceList wireStamp
+}
+
+type wireStamp struct {
+	_       struct{} `cbor:",toarray"`
+	Version lavenderridge.Version
+	Digest  []byte
+}
+
+// wireExchange is the form of an exchange.
+type wireExchange struct {
+	_         struct{} `cbor:",toarray"`
+	Sender    wireSender
+	Address   lavenderridge.Address
+	Leaving   bool
+	Suspects  []lavenderridge.Suspect
+	SourceAge uint64
+}
+
+// wirePullRequest is the form of a pull request.
+type wirePullRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Sender wireSender
+	Name   lavenderridge.DocumentName
+	Have   wireStamp
+}
+
+// wirePullReply is the form of a pull reply. A whole document is compressed
+// where that makes it smaller.
+type wirePullReply struct {
+	_          struct{} `cbor:",toarray"`
+	Sender     wireSender
+	Stamp      wireStamp
+	Whole      []byte
+	Compressed []byte
+	Delta      []byte
+	Busy       bool
+}
+
+// compact returns the wire form of v, or v itself when it has none.
+func compact(v any) any {
+	switch q := v.(type) {
+	case *lavenderridge.Exchange:
+		return newWireExchange(q)
+	case *lavenderridge.PullRequest:
+		return &wirePullRequest{Sender: newWireSender(&q.Sender), Name: q.Name, Have: newWireStamp(q.Have)}
+	case *lavenderridge.PullReply:
+		return newWirePullReply(q)
+	default:
+		return v
+	}
+}
+
+// decodeCompact reads the wire form of v from b.
+func decodeCompact(b []byte, v any) error {
+	switch q := v.(type) {
+	case *lavenderridge.Exchange:
+		return decodeInto(b, q, (*wireExchange).exchange)
+	case *lavenderridge.PullRequest:
+		return decodeInto(b, q, (*wirePullRequest).request)
+	case *lavenderridge.PullReply:
+		return decodeInto(b, q, (*wirePullReply).reply)
+	default:
+		return cbor.Unmarshal(b, v)
+	}
+}
+
+func decodeInto[W, V any](b []byte, v *V, f func(*W) (V, error)) error {
+	var w W
+	if e := cbor.Unmarshal(b, &w); e != nil {
+		return e
+	}
+	r, e := f(&w)
+	if e == nil {
+		*v = r
+	}
+	return e
+}
+
+func newWireStamp(s lavenderridge.Stamp) wireStamp {
+	w := wireStamp{Version: s.Version}
+	if s.Version > 0 {
+		w.Digest = s.Digest[:]
+	}
+	return w
+}
+
+func (w *wireStamp) stamp() (lavenderridge.Stamp, error) {
+	s := lavenderridge.Stamp{Version: w.Version}
+	if w.Version == 0 && len(w.Digest) == 0 {
+		return s, nil
+	}
+	if len(w.Digest) != len(s.Digest) {
+		return s, fmt.Errorf("peerquic: digest of %d bytes", len(w.Digest))
+	}
+	copy(s.Digest[:], w.Digest)
+	return s, nil
+}
+
+func newWireSender(s *lavenderridge.Sender) wireSender {
+	return wireSender{
+		Instance: s.Instance, DataCentre: s.DataCentre, Incarnation: s.Incarnation,
+		Catalogue: newWireStamp(s.Stamps.Catalogue), InstanceList: newWireStamp(s.Stamps.InstanceList),
+	}
+}
+
+func (w *wireSender) sender() (lavenderridge.Sender, error) {
+	c, e := w.Catalogue.stamp()
+	l, x := w.InstanceList.stamp()
+	return lavenderridge.Sender{
+		Instance: w.Instance, DataCentre: w.DataCentre, Incarnation: w.Incarnation,
+		Stamps: lavenderridge.Stamps{Catalogue: c, InstanceList: l},
+	}, errors.Join(e, x)
+}
+
+func newWireExchange(q *lavenderridge.Exchange) *wireExchange {
+	return &wireExchange{
+		Sender: newWireSender(&q.Sender), Address: q.Address, Leaving: q.Leaving, Suspects: q.Suspects,
+		SourceAge: uint64((max(q.SourceAge, 0) + time.Millisecond - 1).Milliseconds()),
+	}
+}
+
+func (w *wireExchange) exchange() (lavenderridge.Exchange, error) {
+	s, e := w.Sender.sender()
+	if w.SourceAge > uint64(maxAge.Milliseconds()) {
+		return lavenderridge.Exchange{}, fmt.Errorf("peerquic: source age of %d ms", w.SourceAge)
+	}
+	return lavenderridge.Exchange{
+		Sender: s, Address: w.Address, Leaving: w.Leaving, Suspects: w.Suspects,
+		SourceAge: time.Duration(w.SourceAge) * time.Millisecond,
+	}, e
+}
+
+// maxAge bounds an age in a message.
+const maxAge = 10 * 365 * 24 * time.Hour
+
+func (w *wirePullRequest) request() (lavenderridge.PullRequest, error) {
+	s, e := w.Sender.sender()
+	h, x := w.Have.stamp()
+	return lavenderridge.PullRequest{Sender: s, Name: w.Name, Have: h}, errors.Join(e, x)
+}
+
+func newWirePullReply(p *lavenderridge.PullReply) *wirePullReply {
+	w := &wirePullReply{Sender: newWireSender(&p.Sender), Stamp: newWireStamp(p.Stamp), Whole: p.Whole, Delta: p.Delta, Busy: p.Busy}
+	if lavenderridge.ByteCount(len(p.Whole)) < minCompressed {
+		return w
+	}
+	if b := encoder().EncodeAll(p.Whole, nil); len(b) < len(p.Whole) {
+		w.Whole, w.Compressed = nil, b
+	}
+	return w
+}
+
+func (w *wirePullReply) reply() (lavenderridge.PullReply, error) {
+	s, e := w.Sender.sender()
+	t, x := w.Stamp.stamp()
+	p := lavenderridge.PullReply{Sender: s, Stamp: t, Whole: w.Whole, Delta: w.Delta, Busy: w.Busy}
+	if e := errors.Join(e, x); e != nil || len(w.Compressed) == 0 {
+		return p, e
+	}
+	b, e := decoder().DecodeAll(w.Compressed, nil)
+	if e != nil {
+		return p, fmt.Errorf("peerquic: decompress: %w", e)
+	}
+	p.Whole = b
+	return p, nil
+}
+
+var encoder = sync.OnceValue(func() *zstd.Encoder {
+	z, e := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
+	if e != nil {
+		panic(e)
+	}
+	return z
+})
+
+var decoder = sync.OnceValue(func() *zstd.Decoder {
+	z, e := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(maxDecompressed)))
+	if e != nil {
+		panic(e)
+	}
+	return z
+})
--- /dev/null
+++ b/internal/transport/peerquic/counters.go
@@ -0,0 +1,46 @@
+package peerquic
+
+import (
+	"sync/atomic"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// Counters counts what a transport carried.
+type Counters struct {
+	calls   [kindHandOver + 1]atomic.Int64
+	payload [kindHandOver + 1]atomic.Int64
+	sent    atomic.Int64
+	packets atomic.Int64
+}
+
+// Counters returns the counters of the transport.
+func (t *Transport) Counters() *Counters {
+	return &t.counters
+}
+
+// call counts one call that this daemon made.
+func (c *Counters) call(k kind, q, p int) {
+	if int(k) < len(c.calls) {
+		c.calls[k].Add(1)
+		c.payload[k].Add(int64(q + p))
+	}
+}
+
+// Exchanges returns the number of exchanges that this daemon asked for and the
+// bytes of their questions and replies.
+func (c *Counters) Exchanges() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindExchange].Load(), lavenderridge.ByteCount(c.payload[kindExchange].Load())
+}
+
+// Pulls returns the number of pulls that this daemon asked for and the bytes
+// of their questions and replies.
+func (c *Counters) Pulls() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindPull].Load(), lavenderridge.ByteCount(c.payload[kindPull].Load())
+}
+
+// Datagrams returns the bytes of all UDP payloads sent and the number of write
+// calls, each of which may carry several packets.
+func (c *Counters) Datagrams() (lavenderridge.ByteCount, int64) {
+	return lavenderridge.ByteCount(c.sent.Load()), c.packets.Load()
+}
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -86,6 +86,7 @@
 	if e != nil {
 		return l.lost(c, e)
 	}
+	l.transport.counters.call(k, len(b), len(p))
 	return l.reply(p, v)
 }
 
--- a/internal/transport/peerquic/message.go
+++ b/internal/transport/peerquic/message.go
@@ -39,7 +39,7 @@
 }
 
 func encode(k byte, v any) ([]byte, error) {
-	b, e := cbor.Marshal(v)
+	b, e := cbor.Marshal(compact(v))
 	if e != nil {
 		return nil, fmt.Errorf("peerquic: encode: %w", e)
 	}
@@ -47,7 +47,7 @@
 }
 
 func decode(b []byte, v any) error {
-	if e := cbor.Unmarshal(b, v); e != nil {
+	if e := decodeCompact(b, v); e != nil {
 		return fmt.Errorf("peerquic: decode: %w", e)
 	}
 	return nil
--- a/internal/transport/peerquic/transport.go
+++ b/internal/transport/peerquic/transport.go
@@ -25,6 +25,7 @@
 	quic       *quic.Transport
 	keys       *peertls.Keys
 	maxMessage lavenderridge.ByteCount
+	counters   Counters
 	links      sync.Map // of lavenderridge.InstanceID to *link
 }
 
@@ -45,7 +46,8 @@
 	if e != nil {
 		return nil, fmt.Errorf("peerquic: %w", e)
 	}
-	t := &Transport{quic: &quic.Transport{Conn: s}, keys: k, maxMessage: defaultMaxMessage}
+	t := &Transport{keys: k, maxMessage: defaultMaxMessage}
+	t.quic = &quic.Transport{Conn: newCountingConn(s, &t.counters)}
 	for _, f := range o {
 		f(t)
 	}
