--- /dev/null
+++ b/internal/daemon/peer/session_test.go
@@ -0,0 +1,107 @@
+package peer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// TestSessions runs the golden files of whole sessions. They print only what
+// does not depend on jitter.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/session", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			var f *fleet
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				if d.Cmd == "fleet" {
+					var n, c int
+					d.ScanArgs(t, "daemons", &n)
+					d.ScanArgs(t, "data-centres", &c)
+					f = newFleet(n, c, 1)
+					return ""
+				}
+				return f.command(t, d)
+			})
+			f.close()
+		})
+	})
+}
+
+func (f *fleet) command(t *testing.T, d *datadriven.TestData) string {
+	var a action
+	var s int
+	d.MaybeScanArgs(t, "node", &a.Node)
+	d.MaybeScanArgs(t, "other", &a.Other)
+	d.MaybeScanArgs(t, "seconds", &s)
+	switch d.Cmd {
+	case "launch":
+		for _, n := range f.nodes {
+			n.launch()
+		}
+	case "wait":
+		f.run(time.Duration(s) * time.Second)
+	case "status":
+		if d.HasArg("node") {
+			return f.nodes[a.Node].status()
+		}
+		var b strings.Builder
+		for _, n := range f.nodes {
+			b.WriteString(n.status())
+		}
+		return b.String()
+	case "decisions":
+		return f.decisions()
+	case "heal":
+		f.heal()
+	default:
+		a.Name = strings.ReplaceAll(d.Cmd, "-", " ")
+		f.do(a)
+	}
+	if f.broken != nil {
+		return f.broken.Error() + "\n"
+	}
+	return ""
+}
+
+func (n *node) status() string {
+	if n.proc == nil {
+		return string(n.self.ID) + " down\n"
+	}
+	var b strings.Builder
+	v := n.proc.versions()
+	fmt.Fprintf(&b, "%s catalogue %d instances %d ready %t", n.self.ID, v.Catalogue, v.InstanceList, n.proc.isReady())
+	for _, m := range n.proc.neighbourhood.Neighbours(n.Now()) {
+		if m.Down {
+			fmt.Fprintf(&b, ", %s does not answer", m.Instance)
+		}
+	}
+	for _, r := range n.proc.store.Rejections() {
+		if r.Origin == lavenderridge.OriginSource || r.Conflict {
+			fmt.Fprintf(&b, ", %s %d rejected: %s", r.Document, r.Version, r.Findings[0])
+		}
+	}
+	return b.String() + "\n"
+}
+
+// decisions returns what each daemon decided about its gate since the last
+// call, in the order of daemons.
+func (f *fleet) decisions() string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var b strings.Builder
+	for _, n := range f.nodes {
+		for _, l := range f.log {
+			if strings.HasPrefix(l, string(n.self.ID)+".") && strings.HasSuffix(l, " gate") {
+				b.WriteString(l + "\n")
+			}
+		}
+	}
+	f.log = nil
+	return b.String()
+}
--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -134,17 +134,26 @@
 // Pull implements Exchanger.
 func (s *Spreader) Pull(_ context.Context, q *lavenderridge.PullRequest) (*lavenderridge.PullReply, error) {
 	if !s.limiter.Begin() {
-		return &lavenderridge.PullReply{Sender: s.self(), Busy: true}, nil
+		return &lavenderridge.PullReply{Sender: s.sender(), Busy: true}, nil
 	}
 	defer s.limiter.End()
 	p := s.store.Serve(q.Name, q.Have)
 	if p.Whole != nil && !s.limiter.Whole(s.clock.Now()) {
 		p = &lavenderridge.PullReply{Busy: true}
 	}
-	p.Sender = s.self()
+	p.Sender = s.sender()
 	return p, nil
 }
 
+// sender returns the sender of messages that spread versions. Its stamps are
+// those of each document by itself, so that one spreads while there is no
+// acceptable version of the other.
+func (s *Spreader) sender() lavenderridge.Sender {
+	v := s.self()
+	v.Stamps = s.store.Stamps()
+	return v
+}
+
 // versions returns the versions of both documents, be there a snapshot or not.
 func (s *Spreader) versions() lavenderridge.Versions {
 	if n := s.store.Snapshot(); n != nil {
@@ -155,7 +164,7 @@
 
 func (s *Spreader) exchange() *lavenderridge.Exchange {
 	t := s.clock.Now()
-	q := &lavenderridge.Exchange{Sender: s.self(), Address: s.address, Leaving: s.leaving(), SourceAge: s.contact.Known(t)}
+	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.contact.Known(t)}
 	if s.suspects != nil {
 		q.Suspects = s.suspects.Suspects(t)
 	}
@@ -198,9 +207,6 @@
 
 // announce tells the neighbours that are behind.
 func (s *Spreader) announce(c context.Context) {
-	if s.store.Snapshot() == nil {
-		return
-	}
 	s.callAll(c, s.neighbourhood.Behind(s.versions(), s.clock.Now()), CounterAnnounce)
 }
 
--- a/internal/daemon/peer/spreaderpull.go
+++ b/internal/daemon/peer/spreaderpull.go
@@ -68,7 +68,7 @@
 func (s *Spreader) fetch(c context.Context, v *lavenderridge.Instance, d lavenderridge.DocumentName, h lavenderridge.Stamp) (*lavenderridge.PullReply, error) {
 	c, f := context.WithTimeout(c, pullTimeout)
 	defer f()
-	p, e := s.dialer.Dial(v).Pull(c, &lavenderridge.PullRequest{Sender: s.self(), Name: d, Have: h})
+	p, e := s.dialer.Dial(v).Pull(c, &lavenderridge.PullRequest{Sender: s.sender(), Name: d, Have: h})
 	if e != nil {
 		return nil, e
 	}
--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -28,6 +28,7 @@
 	minReadInterval = time.Second
 	minBackoff      = 200 * time.Millisecond
 	maxBackoff      = 5 * time.Second
+	maxSpread       = 8 * time.Second
 	maxDoublings    = 5
 )
 
@@ -47,7 +48,7 @@
 func PlanFirstRead(s ReadState, f int, r float64) ReadPlan {
 	w := time.Duration(float64(f) / float64(fleetRate) * float64(time.Second))
 	if s.Failures > 0 {
-		w = max(w, minReadInterval) << min(s.Failures-1, maxDoublings)
+		w = spread(max(w, minReadInterval), s.Failures-1)
 	}
 	return ReadPlan{Delay: scale(w, r)}
 }
@@ -61,8 +62,7 @@
 	if s.Holds && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge {
 		return ReadPlan{Skip: true}
 	}
-	w := 2 * shareInterval(s.Fleet) << min(s.Failures, maxDoublings)
-	p := ReadPlan{Delay: scale(w, r)}
+	p := ReadPlan{Delay: scale(spread(shareInterval(s.Fleet), s.Failures), r)}
 	if !s.Holds {
 		p.Delay += peerGrace
 	}
@@ -76,6 +76,13 @@
 	return max(minReadInterval, time.Duration(s*float64(time.Second)))
 }
 
+// spread returns the time over which to spread a read with the mean interval
+// d. After f failures it is longer, but no more than it takes to notice soon
+// that the source is back.
+func spread(d time.Duration, f int) time.Duration {
+	return min(2*d<<min(f, maxDoublings), max(2*d, maxSpread))
+}
+
 func backoff(f int, r float64) time.Duration {
 	if f == 0 {
 		return 0
--- a/internal/policy/peer/membership.go
+++ b/internal/policy/peer/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,22 +25,28 @@
 // never changes once made.
 type Membership struct {
 	instances   map[lavenderridge.InstanceID]*lavenderridge.Instance
-	live        map[lavenderridge.DataCentreID][]*lavenderridge.Instance
+	live        map[lavenderridge.DataCentreID][]candidate
 	dataCentres []lavenderridge.DataCentreID
 }
 
+// candidate is an instance that can be chosen, with the hash of its ID.
+type candidate struct {
+	instance *lavenderridge.Instance
+	hash     uint64
+}
+
 // NewMembership returns the membership of the instance list l. Only live
 // instances are chosen; leaving ones may choose.
 func NewMembership(l *lavenderridge.InstanceList) *Membership {
 	m := &Membership{
 		instances: make(map[lavenderridge.InstanceID]*lavenderridge.Instance, len(l.Instances)),
-		live:      make(map[lavenderridge.DataCentreID][]*lavenderridge.Instance),
+		live:      make(map[lavenderridge.DataCentreID][]candidate),
 	}
 	for i := range l.Instances {
 		n := &l.Instances[i]
 		m.instances[n.ID] = n
 		if n.State == lavenderridge.InstanceLive {
-			m.live[n.DataCentre] = append(m.live[n.DataCentre], n)
+			m.live[n.DataCentre] = append(m.live[n.DataCentre], candidate{instance: n, hash: hash(n.ID)})
 		}
 	}
 	for d := range m.live {
@@ -60,43 +67,54 @@
 }
 
 // Chosen returns the neighbours that the instance n in the data centre d
-// chooses. It passes over those of which x reports that they are down.
+// chooses. It passes over those of which x reports that they are down; nil
+// tells that none is.
 func (m *Membership) Chosen(n lavenderridge.InstanceID, d lavenderridge.DataCentreID, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
 	return append(m.local(n, d, x), m.remote(n, d, x)...)
 }
 
-// Neighbours returns the neighbours of the instance n in the data centre d:
-// those that it chooses and those that choose it. It passes over those of
-// which x reports that they are down.
-func (m *Membership) Neighbours(n lavenderridge.InstanceID, d lavenderridge.DataCentreID, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
-	a := m.Chosen(n, d, x)
+// Choosers returns the instances that choose the live instance n in the data
+// centre d while none is down.
+func (m *Membership) Choosers(n lavenderridge.InstanceID, d lavenderridge.DataCentreID) []*lavenderridge.Instance {
+	var a []*lavenderridge.Instance
 	if v := m.instances[n]; v == nil || v.State != lavenderridge.InstanceLive {
 		return a
 	}
 	for _, v := range m.dataCentres {
 		for _, j := range m.live[v] {
-			if j.ID != n && !x(j.ID) && !slices.Contains(a, j) && m.chooses(j, n, d) {
-				a = append(a, j)
+			if j.instance.ID != n && m.chooses(j.instance, n, d) {
+				a = append(a, j.instance)
 			}
 		}
 	}
 	return a
 }
 
+// Neighbours returns the neighbours of the instance n in the data centre d:
+// those that it chooses and those in c, which choose it. It passes over those
+// of which x reports that they are down.
+func (m *Membership) Neighbours(n lavenderridge.InstanceID, d lavenderridge.DataCentreID, c []*lavenderridge.Instance, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
+	a := m.Chosen(n, d, x)
+	for _, v := range c {
+		if (x == nil || !x(v.ID)) && !slices.Contains(a, v) {
+			a = append(a, v)
+		}
+	}
+	return a
+}
+
 func (m *Membership) chooses(j *lavenderridge.Instance, n lavenderridge.InstanceID, d lavenderridge.DataCentreID) bool {
 	f := func(v *lavenderridge.Instance) bool { return v.ID == n }
 	if j.DataCentre == d {
-		return slices.ContainsFunc(m.local(j.ID, d, none), f)
+		return slices.ContainsFunc(m.local(j.ID, d, nil), f)
 	}
-	r := m.remoteDataCentres(j.ID, j.DataCentre, none)
-	if len(r) > remoteNeighbours {
-		r = r[:remoteNeighbours]
+	r := m.remoteDataCentres(j.ID, j.DataCentre, nil)
+	if len(r) < remoteNeighbours {
+		return slices.ContainsFunc(m.remote(j.ID, j.DataCentre, nil), f)
 	}
-	return slices.Contains(r, d) && slices.ContainsFunc(m.remote(j.ID, j.DataCentre, none), f)
+	return slices.Contains(r[:remoteNeighbours], d) && slices.ContainsFunc(first(m.live[d], j.ID, 1, nil), f)
 }
 
-func none(lavenderridge.InstanceID) bool { return false }
-
 func (m *Membership) local(n lavenderridge.InstanceID, d lavenderridge.DataCentreID, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
 	return first(m.live[d], n, localNeighbours, x)
 }
@@ -128,7 +146,7 @@
 	a := make([]ranked, 0, len(m.dataCentres))
 	for _, v := range m.dataCentres {
 		if v != d {
-			a = append(a, ranked{id: v, down: m.isDown(v, x), score: pairScore(string(n), string(v))})
+			a = append(a, ranked{id: v, down: m.isDown(v, x), score: pairScore(hash(n), hash(v))})
 		}
 	}
 	slices.SortFunc(a, func(p, q ranked) int {
@@ -148,9 +166,12 @@
 }
 
 func (m *Membership) isDown(d lavenderridge.DataCentreID, x func(lavenderridge.InstanceID) bool) bool {
+	if x == nil {
+		return false
+	}
 	c := 0
 	for _, n := range m.live[d] {
-		if x(n.ID) {
+		if x(n.instance.ID) {
 			c++
 		}
 		if c == downInDataCentre {
@@ -161,32 +182,34 @@
 }
 
 // first returns the k instances of a that rank first for the instance n.
-func first(a []*lavenderridge.Instance, n lavenderridge.InstanceID, k int, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
+func first(a []candidate, n lavenderridge.InstanceID, k int, x func(lavenderridge.InstanceID) bool) []*lavenderridge.Instance {
 	r := make([]*lavenderridge.Instance, 0, k+1)
 	s := make([]uint64, 0, k+1)
+	o := hash(n)
 	for _, v := range a {
-		if v.ID == n || x(v.ID) {
+		h := pairScore(o, v.hash)
+		if len(s) == k && h <= s[k-1] || v.instance.ID == n || x != nil && x(v.instance.ID) {
 			continue
 		}
-		h := pairScore(string(n), string(v.ID))
 		i := 0
 		for i < len(s) && s[i] >= h {
 			i++
 		}
-		if i == k {
-			continue
-		}
-		r, s = slices.Insert(r, i, v), slices.Insert(s, i, h)
+		r, s = slices.Insert(r, i, v.instance), slices.Insert(s, i, h)
 		r, s = r[:min(len(r), k)], s[:min(len(s), k)]
 	}
 	return r
 }
 
-func pairScore(a, b string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(a)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(b)
-	return d.Sum64()
+func hash[S ~string](s S) uint64 {
+	return xxhash.Sum64String(string(s))
+}
+
+// pairScore mixes two hashes, so that each instance ranks the others in an
+// order of its own. It is the last step of the SplitMix64 generator.
+func pairScore(a, b uint64) uint64 {
+	h := a + bits.RotateLeft64(b, 32)
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
 }
--- a/internal/policy/peer/neighbourhood.go
+++ b/internal/policy/peer/neighbourhood.go
@@ -31,9 +31,10 @@
 	membership *Membership
 	states     map[lavenderridge.InstanceID]*state
 	// natural are the neighbours if none were down; current are those in use.
-	natural []*lavenderridge.Instance
-	current []*lavenderridge.Instance
-	turn    int
+	natural  []*lavenderridge.Instance
+	current  []*lavenderridge.Instance
+	choosers []*lavenderridge.Instance
+	turn     int
 	// strangers are daemons that called while there was no instance list.
 	strangers map[lavenderridge.InstanceID]*lavenderridge.Instance
 }
@@ -74,7 +75,8 @@
 			delete(h.states, d)
 		}
 	}
-	h.natural = m.Neighbours(h.self, h.dataCentre, none)
+	h.choosers = m.Choosers(h.self, h.dataCentre)
+	h.natural = m.Neighbours(h.self, h.dataCentre, h.choosers, nil)
 	h.choose()
 }
 
@@ -230,7 +232,7 @@
 }
 
 func (h *Neighbourhood) choose() {
-	h.current = h.membership.Neighbours(h.self, h.dataCentre, h.isDown)
+	h.current = h.membership.Neighbours(h.self, h.dataCentre, h.choosers, h.isDown)
 }
 
 // reachable returns the chosen neighbours and those that called of late.
