Check settings, catalogues and keys before anything starts

Settings were decoded in one go, so the first fault hid the rest and had no place. They are now read by key path from the library's decoded document, with lines from its parser; every finding is collected with file, line and key. Decoding into structs was ruled out: it stops at the first wrong type and cannot tell a missing name from an empty one.

check prints findings of settings, catalogues and instance lists; keys makes an authority, issues, renews (the same key, so that one file changes) and shows certificates; key files are read again when they change and bad ones leave the old in force. A peer without a certificate is now refused in VerifyConnection, where it is counted; before, the TLS library refused it first.

The end-to-end test writes the new sections of the settings; its checks are unchanged.

--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -110,7 +110,7 @@
 	h := httptest.NewServer(b)
 	t.Cleanup(h.Close)
 	p := &process{instance: n, backend: b, caller: freeAddress(t, "tcp"), operator: freeAddress(t, "tcp"), output: &bytes.Buffer{}}
-	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\nConfigService = %q\nBackend = %q\nCaller = %q\nPeer = %q\nOperator = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
+	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
 		n.ID, n.DataCentre, n.Service, source, strings.TrimPrefix(h.URL, "http://"), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
 	p.command = exec.Command(binary, "serve", write("settings.toml", []byte(s)))
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"go.uber.org/zap"
 
 	"github.com/lavenderridge/lavenderridge"
 )
@@ -20,6 +22,9 @@
 	exitUsage = 2
 )
 
+// errSilent ends a command with exitError when its output has told why.
+var errSilent = errors.New("findings")
+
 // Run runs the command line with the arguments a and returns its exit code.
 // Results go to w, errors and usage to x.
 func Run(a []string, w, x io.Writer) int {
@@ -27,11 +32,8 @@
 	defer f()
 	p := kingpin.New("lavenderridge", "Distributes a service mesh's configuration and routes requests by it.")
 	p.UsageWriter(x).ErrorWriter(x)
-	m := map[string]command{}
-	for _, n := range []func(*kingpin.Application, io.Writer) command{newServeCmd, newStatusCmd} {
-		v := n(p, w)
-		m[v.name()] = v
-	}
+	m := commands(p, w)
+	kratoslog.SetLogger(kratosLogger{log: zap.NewNop()})
 	s, e := p.Parse(a)
 	if e != nil {
 		_, _ = fmt.Fprintf(x, "lavenderridge: %v\n", e)
@@ -44,8 +46,25 @@
 	return exitOK
 }
 
+// commands adds every command to the application p and returns them by name.
+func commands(p *kingpin.Application, w io.Writer) map[string]command {
+	k := p.Command("keys", "Make the keys with which daemons trust each other.")
+	a := []command{
+		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w),
+		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
+	}
+	m := make(map[string]command, len(a))
+	for _, v := range a {
+		m[v.name()] = v
+	}
+	return m
+}
+
 func report(w io.Writer, s string, e error) {
 	var f lavenderridge.Findings
+	if errors.Is(e, errSilent) {
+		return
+	}
 	if !errors.As(e, &f) {
 		_, _ = fmt.Fprintf(w, "lavenderridge %s: %v\n", s, e)
 		return
--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
-	"go.uber.org/zap"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
@@ -22,7 +21,7 @@
 
 func newServeCmd(a *kingpin.Application, _ io.Writer) command {
 	s := &serveCmd{clause: a.Command("serve", "Run the daemon beside a backend server.")}
-	s.clause.Arg("settings", "Settings file (TOML).").Required().ExistingFileVar(&s.file)
+	s.clause.Arg("settings", "Settings file (TOML).").Required().StringVar(&s.file)
 	return s
 }
 
@@ -31,20 +30,24 @@
 }
 
 func (s *serveCmd) run(c context.Context) error {
-	v, e := settings.Load(s.file)
-	if e != nil {
-		return e
+	v, f := settings.Load(s.file)
+	if v != nil {
+		f = append(f, v.CheckPorts()...)
 	}
-	l, e := zap.NewProduction()
+	if len(f) > 0 {
+		return f
+	}
+	l, e := v.Log.Logger()
 	if e != nil {
-		return fmt.Errorf("serve: %w", e)
+		return e
 	}
 	defer func() { _ = l.Sync() }()
+	kratoslog.SetLogger(kratosLogger{log: l})
 	k, e := v.Keys()
 	if e != nil {
 		return e
 	}
-	d, e := assembly.NewDaemon(c, v.Config(), k, assembly.WithLogger(l))
+	d, e := assembly.NewDaemon(c, v.Daemon, k, assembly.WithLogger(l))
 	if e != nil {
 		return e
 	}
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -1,88 +1,167 @@
 package settings
 
 import (
-	"bytes"
-	"crypto/tls"
-	"crypto/x509"
+	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
+// Defaults and bounds of the settings; docs/reference/settings.md lists them.
 const (
+	defaultOperator    = "127.0.0.1:7300"
 	defaultMaxBody     = lavenderridge.Mebibyte
+	maxMaxBody         = 64 * lavenderridge.Mebibyte
 	defaultStopTimeout = 30 * time.Second
+	minStopTimeout     = time.Second
+	maxStopTimeout     = 10 * time.Minute
 	defaultConnections = 130
+	maxConnections     = 100_000
+	defaultDecisions   = 4096
+	maxDecisions       = 1 << 20
+	defaultReload      = 10 * time.Second
+	minReload          = 100 * time.Millisecond
+	maxReload          = time.Hour
 )
 
+// maxFile bounds a settings file.
+const maxFile = lavenderridge.Mebibyte
+
 // Settings is the content of a settings file.
 type Settings struct {
-	Instance      string
-	DataCentre    string
-	Service       string
-	ConfigService string
-	Backend       string
-	Caller        string
-	Peer          string
-	Operator      string
-	KeyFiles      keyFiles `toml:"Keys"`
-}
+	Daemon assembly.Config
+	Log    Log
 
-type keyFiles struct {
-	Authority   string
-	Certificate string
-	Key         string
+	reader *reader
 }
 
-// Load reads the settings file p.
-func Load(p string) (*Settings, error) {
-	b, e := os.ReadFile(p)
+// Load reads and checks the settings file p. With the findings it returns what
+// could be read of the file, or nil when the file could not be decoded.
+func Load(p string) (*Settings, lavenderridge.Findings) {
+	i, e := os.Stat(p)
+	if e == nil && i.Size() > int64(maxFile) {
+		e = fmt.Errorf("larger than %d bytes", maxFile)
+	}
+	var b []byte
+	if e == nil {
+		b, e = os.ReadFile(p)
+	}
 	if e != nil {
-		return nil, fmt.Errorf("settings: %w", e)
+		return nil, lavenderridge.Findings{{Place: p, Message: plain(e)}}
+	}
+	s, f := Parse(p, b)
+	if s == nil {
+		return nil, f
+	}
+	s.checkKeys()
+	return s, s.reader.sorted()
+}
+
+// Parse reads the settings b of the file p and checks all that needs no other
+// file and no socket.
+func Parse(p string, b []byte) (*Settings, lavenderridge.Findings) {
+	r, f := newReader(p, b)
+	if r == nil {
+		return nil, f
+	}
+	s := &Settings{reader: r}
+	s.readIdentity(r)
+	s.readAddresses(r)
+	s.readLimits(r)
+	s.readKeys(r)
+	s.Log = readLog(r)
+	r.unknown()
+	return s, r.sorted()
+}
+
+func (s *Settings) readIdentity(r *reader) {
+	s.Daemon.Instance = lavenderridge.InstanceID(r.name("Instance"))
+	s.Daemon.DataCentre = lavenderridge.DataCentreID(r.name("DataCentre"))
+	s.Daemon.Service = lavenderridge.ServiceID(r.name("Service"))
+}
+
+func (s *Settings) readAddresses(r *reader) {
+	d := &s.Daemon
+	d.Caller = r.address("Caller.Address", "")
+	d.Peer = r.address("Peer.Address", "")
+	d.Backend = r.address("Backend.Address", "")
+	d.ConfigService = r.address("ConfigService.Address", "")
+	d.Operator = r.address("Operator.Address", defaultOperator)
+	r.distinct("Caller.Address", "Peer.Address", "Backend.Address", "ConfigService.Address", "Operator.Address")
+	if !r.flag("Operator.AllowRemote", false) {
+		r.loopback("Operator.Address", d.Operator)
 	}
-	v := &Settings{Operator: "127.0.0.1:7300"}
-	if e := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(v); e != nil {
-		return nil, fmt.Errorf("settings: %s: %w", p, e)
+}
+
+func (s *Settings) readLimits(r *reader) {
+	d := &s.Daemon
+	d.Connections = lavenderridge.Connections(r.count("Backend.Connections", defaultConnections, 1, maxConnections))
+	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
+	d.StopTimeout = r.duration("Limits.StopTimeout", defaultStopTimeout, minStopTimeout, maxStopTimeout)
+	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
+}
+
+func (s *Settings) readKeys(r *reader) {
+	s.Daemon.KeyFiles = peertls.Files{
+		Authority:   r.path("Keys.Authority"),
+		Certificate: r.path("Keys.Certificate"),
+		Key:         r.path("Keys.Key"),
 	}
-	return v, nil
+	s.Daemon.KeyReload = r.duration("Keys.ReloadInterval", defaultReload, minReload, maxReload)
 }
 
-// Config returns the daemon's part of the settings.
-func (s *Settings) Config() assembly.Config {
-	return assembly.Config{
-		Instance:      lavenderridge.InstanceID(s.Instance),
-		DataCentre:    lavenderridge.DataCentreID(s.DataCentre),
-		Service:       lavenderridge.ServiceID(s.Service),
-		ConfigService: lavenderridge.Address(s.ConfigService),
-		Backend:       lavenderridge.Address(s.Backend),
-		Connections:   defaultConnections,
-		Caller:        lavenderridge.Address(s.Caller),
-		Peer:          lavenderridge.Address(s.Peer),
-		Operator:      lavenderridge.Address(s.Operator),
-		MaxBody:       defaultMaxBody,
-		StopTimeout:   defaultStopTimeout,
+// checkKeys adds a finding for each fault of the key files.
+func (s *Settings) checkKeys() {
+	f := s.Daemon.KeyFiles
+	if f.Authority == "" || f.Certificate == "" || f.Key == "" {
+		return
+	}
+	_, e := f.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
+	var a lavenderridge.Findings
+	if errors.As(e, &a) {
+		for _, v := range a {
+			s.reader.add("Keys."+v.Place, "%s", v.Message)
+		}
 	}
 }
 
+// CheckPorts returns a finding for each address that the daemon is to listen
+// on and that is in use.
+func (s *Settings) CheckPorts() lavenderridge.Findings {
+	r := s.reader.empty()
+	r.free("Caller.Address", "tcp", s.Daemon.Caller)
+	r.free("Operator.Address", "tcp", s.Daemon.Operator)
+	r.free("Peer.Address", "udp", s.Daemon.Peer)
+	return r.sorted()
+}
+
 // Keys loads the certificate files.
 func (s *Settings) Keys() (*peertls.Keys, error) {
-	c, e := tls.LoadX509KeyPair(s.KeyFiles.Certificate, s.KeyFiles.Key)
+	k, e := s.Daemon.KeyFiles.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
 	if e != nil {
-		return nil, fmt.Errorf("settings: keys: %w", e)
+		return nil, fmt.Errorf("settings: %w", e)
 	}
-	b, e := os.ReadFile(s.KeyFiles.Authority)
-	if e != nil {
-		return nil, fmt.Errorf("settings: keys: %w", e)
+	return k, nil
+}
+
+// plain returns the message of e without the path that the place shows.
+func plain(e error) string {
+	var p *os.PathError
+	if errors.As(e, &p) {
+		return p.Err.Error()
 	}
-	p := x509.NewCertPool()
-	if !p.AppendCertsFromPEM(b) {
-		return nil, fmt.Errorf("settings: keys: no certificate in %s", s.KeyFiles.Authority)
+	return e.Error()
+}
+
+// beside returns p, taken relative to the directory of the file f.
+func beside(f, p string) string {
+	if p == "" || filepath.IsAbs(p) {
+		return p
 	}
-	return peertls.NewKeys(&c, p), nil
+	return filepath.Join(filepath.Dir(f), p)
 }
--- /dev/null
+++ b/internal/cmd/settings/settings_test.go
@@ -0,0 +1,50 @@
+package settings_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
+)
+
+const complete = `Instance = "roster-1"
+DataCentre = "fukuoka"
+Service = "roster"
+Caller.Address = "127.0.0.1:7100"
+Peer = { Address = "127.0.0.1:7200" }
+Backend.Address = "127.0.0.1:7400"
+[ConfigService]
+Address = "127.0.0.1:7500"
+[Keys]
+Authority = "a.pem"
+Certificate = "c.pem"
+Key = "k.pem"
+`
+
+// FuzzParse checks that any input gives either usable settings or findings
+// that all name the file.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(complete))
+	f.Add([]byte(strings.ReplaceAll(complete, "127", "x")))
+	f.Add([]byte("[[Caller]]\nAddress = 1\n[Limits]\nMaxBody = \"1TiB\"\n[A.B]\n"))
+	f.Add([]byte("Operator = { Address = \"[::]:1\", AllowRemote = 1 }\nA.B = [{C = 1}]\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, a := settings.Parse("f.toml", b)
+		for _, v := range a {
+			if !strings.HasPrefix(v.Place, "f.toml") || v.Message == "" {
+				t.Errorf("finding %q without its place or message", v)
+			}
+		}
+		if len(a) > 0 {
+			return
+		}
+		d := s.Daemon
+		if d.Instance == "" || d.MaxBody <= 0 || d.StopTimeout <= 0 || d.Decisions <= 0 {
+			t.Errorf("settings without findings lack a value: %+v", d)
+		}
+		if _, e := netip.ParseAddrPort(string(d.Caller)); e != nil {
+			t.Error(e)
+		}
+	})
+}
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
 // A Config holds what a daemon is told of itself by its settings.
@@ -18,5 +19,12 @@
 	Peer          lavenderridge.Address
 	Operator      lavenderridge.Address
 	MaxBody       lavenderridge.ByteCount
-	StopTimeout   time.Duration
+	// StopTimeout bounds the wait for running requests at a planned stop.
+	StopTimeout time.Duration
+	// Decisions bounds the recent decisions that are kept; zero means the
+	// default.
+	Decisions int
+	// KeyFiles are read again at intervals of KeyReload; zero means never.
+	KeyFiles  peertls.Files
+	KeyReload time.Duration
 }
--- a/internal/transport/peertls/authority.go
+++ b/internal/transport/peertls/authority.go
@@ -1,12 +1,14 @@
 package peertls
 
 import (
+	"crypto"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"errors"
 	"fmt"
 	"math/big"
 	"net/url"
@@ -46,24 +48,69 @@
 	return &Authority{certificate: x, key: k}, nil
 }
 
-// Issue returns a certificate for the daemon i, valid for the time d from t.
+// ParseAuthority returns the authority with the PEM certificate c and the PEM
+// private key k.
+func ParseAuthority(c, k []byte) (*Authority, error) {
+	p, e := tls.X509KeyPair(c, k)
+	if e != nil {
+		return nil, fmt.Errorf("peertls: authority: %w", e)
+	}
+	s, o := p.PrivateKey.(*ecdsa.PrivateKey)
+	if !o || !p.Leaf.IsCA {
+		return nil, errors.New("peertls: not the certificate of an authority made by this program")
+	}
+	return &Authority{certificate: p.Leaf, key: s}, nil
+}
+
+// Issue returns a certificate with a new key for the daemon i, valid for the
+// time d from t, but no longer than the authority.
 func (a *Authority) Issue(i Identity, t time.Time, d time.Duration) (*tls.Certificate, error) {
 	k, e := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if e != nil {
 		return nil, fmt.Errorf("peertls: %w", e)
 	}
+	return a.sign(k, i, t, d)
+}
+
+// Renew returns a certificate for the key and the identity of c, valid for the
+// time d from t, but no longer than the authority.
+func (a *Authority) Renew(c *tls.Certificate, t time.Time, d time.Duration) (*tls.Certificate, error) {
+	i, e := ParseIdentity(c.Leaf)
+	if e != nil {
+		return nil, e
+	}
+	k, o := c.PrivateKey.(crypto.Signer)
+	if !o {
+		return nil, errors.New("peertls: the key cannot sign")
+	}
+	return a.sign(k, i, t, d)
+}
+
+func (a *Authority) sign(k crypto.Signer, i Identity, t time.Time, d time.Duration) (*tls.Certificate, error) {
 	m, e := template(string(i.Instance), t, d)
 	if e != nil {
 		return nil, e
 	}
+	if m.NotAfter.After(a.certificate.NotAfter) {
+		m.NotAfter = a.certificate.NotAfter
+	}
 	m.URIs = []*url.URL{i.URL()}
 	m.KeyUsage = x509.KeyUsageDigitalSignature
 	m.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
-	b, e := x509.CreateCertificate(rand.Reader, m, a.certificate, &k.PublicKey, a.key)
+	b, e := x509.CreateCertificate(rand.Reader, m, a.certificate, k.Public(), a.key)
+	if e != nil {
+		return nil, fmt.Errorf("peertls: %w", e)
+	}
+	x, e := x509.ParseCertificate(b)
 	if e != nil {
 		return nil, fmt.Errorf("peertls: %w", e)
 	}
-	return &tls.Certificate{Certificate: [][]byte{b}, PrivateKey: k}, nil
+	return &tls.Certificate{Certificate: [][]byte{b}, PrivateKey: k, Leaf: x}, nil
+}
+
+// EncodeKey returns the PEM form of the authority's private key.
+func (a *Authority) EncodeKey() ([]byte, error) {
+	return EncodeKey(&tls.Certificate{PrivateKey: a.key})
 }
 
 // Certificate returns the authority's own certificate.
--- a/internal/transport/peertls/keys.go
+++ b/internal/transport/peertls/keys.go
@@ -15,6 +15,7 @@
 // can be replaced while the daemon runs.
 type Keys struct {
 	current atomic.Pointer[keyPair]
+	refused atomic.Uint64
 }
 
 type keyPair struct {
@@ -35,19 +36,54 @@
 	k.current.Store(&keyPair{certificate: c, authorities: p})
 }
 
+// adopt puts the certificate and the authorities of o in force.
+func (k *Keys) adopt(o *Keys) {
+	k.current.Store(o.current.Load())
+}
+
+// NotAfter returns when the certificate in force expires, or the zero time
+// when it cannot be read.
+func (k *Keys) NotAfter() time.Time {
+	c := k.current.Load().certificate
+	if c.Leaf != nil {
+		return c.Leaf.NotAfter
+	}
+	x, e := x509.ParseCertificate(c.Certificate[0])
+	if e != nil {
+		return time.Time{}
+	}
+	return x.NotAfter
+}
+
+// Refused returns how many handshakes were refused because the peer had no
+// certificate, one of another authority or that of another instance.
+func (k *Keys) Refused() uint64 {
+	return k.refused.Load()
+}
+
+// count counts a refused handshake.
+func (k *Keys) count(e error) error {
+	if e != nil {
+		k.refused.Add(1)
+	}
+	return e
+}
+
 // Server returns the TLS settings of a server that takes any daemon with a
 // certificate from a trusted authority. The protocol is a, by ALPN.
 func (k *Keys) Server(a string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{a},
-		ClientAuth: tls.RequireAnyClientCert,
+		// VerifyConnection below refuses a peer without a certificate as well,
+		// and counts it.
+		ClientAuth: tls.RequestClientCert,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			return k.current.Load().certificate, nil
 		},
 		VerifyConnection: func(s tls.ConnectionState) error {
 			_, e := k.Verify(s)
-			return e
+			return k.count(e)
 		},
 	}
 }
@@ -70,7 +106,7 @@
 			if e == nil && i.Instance != n {
 				e = fmt.Errorf("peertls: certificate of %q; want %q", i.Instance, n)
 			}
-			return e
+			return k.count(e)
 		},
 	}
 }
