Keep decisions, burn and metrics for operators, without a lock

A daemon kept nothing that operators could ask for. It now keeps the latest decisions in a ring, good and bad requests by entry and data centre in bins of a minute, and metrics in the registry, and serves them with limits on size, time and number of requests.

The samples of the metrics library were ruled out on the request path: each update takes a mutex, and its timers start a goroutine that never ends. BucketSample counts in atomic buckets instead.

Windows match a plain list of requests and the ring matches a plain list of decisions under rapid; the sums of several daemons match one sum. The operator server now ends after the callers' server, so that the state of a planned stop can be read.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -32,6 +32,7 @@
 	owner         *ownerPart
 	home          *homePart
 	entry         *entryPart
+	records       *operatorRecords
 	operator      *operatorPart
 	closers       []func() error
 }
@@ -54,6 +55,7 @@
 }
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
+	d.records = newOperatorRecords(d, k)
 	if d.transport, e = peerquic.NewTransport(d.config.Peer, k); e != nil {
 		return e
 	}
@@ -79,7 +81,7 @@
 	p, f := context.WithCancel(context.WithoutCancel(c))
 	defer f()
 	g.Go(func() error { return d.configuration.run(c) })
-	g.Go(func() error { return d.operator.run(c) })
+	g.Go(func() error { return d.operator.run(p) })
 	g.Go(func() error {
 		// The peer server outlives the caller server, whose last requests need
 		// its connections.
@@ -102,7 +104,9 @@
 	}
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
+		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
+	d.records.fill(&s)
 	return s
 }
 
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -4,13 +4,90 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
-// operatorPart answers operators.
+// defaultDecisions bounds the recent decisions that a daemon keeps.
+const defaultDecisions = 4096
+
+// operatorRecords is what the daemon keeps for operators.
+type operatorRecords struct {
+	ring      *operator.DecisionRing
+	burn      *operator.BurnCounter
+	keys      *peertls.Keys
+	startedAt time.Time
+}
+
+// newOperatorRecords returns empty records, to which the daemon's recorder and
+// observer write from now on.
+func newOperatorRecords(d *Daemon, k *peertls.Keys) *operatorRecords {
+	n := d.config.Decisions
+	if n < 1 {
+		n = defaultDecisions
+	}
+	r := &operatorRecords{
+		ring: operator.NewDecisionRing(n), burn: operator.NewBurnCounter(), keys: k, startedAt: d.clock.Now(),
+	}
+	d.recorder = r.ring
+	d.observer = operator.Observers{r.burn, operator.NewRequestMetrics(d.metrics)}
+	r.register(d)
+	return r
+}
+
+// register adds the gauges that are worked out when they are asked for.
+func (r *operatorRecords) register(d *Daemon) {
+	operator.RegisterProcessMetrics(d.metrics)
+	m := d.metrics
+	metrics.NewRegisteredFunctionalGauge("KeysNotAfterSeconds", m, func() int64 { return r.keys.NotAfter().Unix() })
+	metrics.NewRegisteredFunctionalGauge("PeersRefused", m, func() int64 { return int64(r.keys.Refused()) })
+	metrics.NewRegisteredFunctionalGauge("DecisionsRecorded", m, func() int64 { return int64(r.ring.Recorded()) })
+	metrics.NewRegisteredFunctionalGauge("BurnObservationsDropped", m, func() int64 { return int64(r.burn.Dropped()) })
+	metrics.NewRegisteredFunctionalGauge("StartedAtSeconds", m, r.startedAt.Unix)
+	r.registerStatus(d)
+}
+
+// registerStatus adds the gauges that the daemon's status tells.
+func (r *operatorRecords) registerStatus(d *Daemon) {
+	a := map[string]func(s operatorhttp.Status) int64{
+		"CatalogueVersion":    func(s operatorhttp.Status) int64 { return int64(s.Versions.Catalogue) },
+		"InstanceListVersion": func(s operatorhttp.Status) int64 { return int64(s.Versions.InstanceList) },
+		"BackendInFlight":     func(s operatorhttp.Status) int64 { return int64(s.Load.InFlight) },
+		"BackendQueued":       func(s operatorhttp.Status) int64 { return int64(s.Load.Queued) },
+		"BackendLimit":        func(s operatorhttp.Status) int64 { return int64(s.Load.Limit) },
+		"Ready":               func(s operatorhttp.Status) int64 { return flag(s.Ready) },
+		"Leaving":             func(s operatorhttp.Status) int64 { return flag(s.Leaving) },
+	}
+	for n, f := range a {
+		metrics.NewRegisteredFunctionalGauge(n, d.metrics, func() int64 { return f(d.Status()) })
+	}
+}
+
+// flag returns 1 for true and 0 for false.
+func flag(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// fill adds to the status what the records know.
+func (r *operatorRecords) fill(s *operatorhttp.Status) {
+	s.StartedAt, s.KeysNotAfter, s.PeersRefused = r.startedAt, r.keys.NotAfter(), r.keys.Refused()
+}
+
+// operatorPart answers operators and renews the keys.
 type operatorPart struct {
-	server *operatorhttp.Server
+	server   *operatorhttp.Server
+	reloader *peertls.Reloader
+	interval time.Duration
 }
 
 func newOperatorPart(d *Daemon) (*operatorPart, error) {
@@ -19,11 +96,31 @@
 		return nil, fmt.Errorf("assembly: operator address: %w", e)
 	}
 	d.closeLater(l.Close)
-	return &operatorPart{server: operatorhttp.NewServer(l, d.Status)}, nil
+	r := d.records
+	p := &operatorPart{interval: d.config.KeyReload}
+	p.server = operatorhttp.NewServer(l, d.Status,
+		operatorhttp.WithMetrics(d.metrics),
+		operatorhttp.WithDecisions(func(q operatorhttp.DecisionQuery) []lavenderridge.Decision {
+			return r.ring.Decisions(q.Limit, q.Match)
+		}),
+		operatorhttp.WithBurn(func() operatorhttp.Burn {
+			t := d.clock.Now()
+			return operatorhttp.Burn{
+				Instance: d.config.Instance, DataCentre: d.config.DataCentre, Time: t,
+				Rows: r.burn.Rows(d.configuration.store.Snapshot(), t),
+			}
+		}),
+	)
+	i := peertls.Identity{Instance: d.config.Instance, DataCentre: d.config.DataCentre}
+	p.reloader = peertls.NewReloader(d.config.KeyFiles, i, r.keys, d.log)
+	return p, nil
 }
 
 func (p *operatorPart) run(c context.Context) error {
-	f := context.AfterFunc(c, func() { _ = p.server.Close() })
-	defer f()
-	return p.server.Start(context.WithoutCancel(c))
+	g, c := errgroup.WithContext(c)
+	g.Go(func() error { return p.server.Run(c) })
+	if p.interval > 0 {
+		g.Go(func() error { return p.reloader.Run(c, p.interval) })
+	}
+	return g.Wait()
 }
--- /dev/null
+++ b/internal/daemon/operator/observers.go
@@ -0,0 +1,15 @@
+package operator
+
+import "github.com/lavenderridge/lavenderridge"
+
+// Observers passes each observation to several observers in turn.
+type Observers []lavenderridge.Observer
+
+var _ lavenderridge.Observer = Observers(nil)
+
+// Observe implements lavenderridge.Observer.
+func (a Observers) Observe(o lavenderridge.Observation) {
+	for _, v := range a {
+		v.Observe(o)
+	}
+}
--- /dev/null
+++ b/internal/daemon/operator/requestmetrics.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// maxReasons bounds the reasons of refusals that have a counter of their own.
+const maxReasons = 64
+
+// RequestMetrics counts callers' requests and times them.
+type RequestMetrics struct {
+	good    metrics.Counter
+	bad     metrics.Counter
+	latency metrics.Histogram
+	refused *copyMap[refusalKey, metrics.Counter]
+}
+
+var _ lavenderridge.Observer = (*RequestMetrics)(nil)
+
+// refusalKey is one kind of refusal.
+type refusalKey struct {
+	reason  lavenderridge.Reason
+	outcome lavenderridge.Outcome
+}
+
+// NewRequestMetrics returns request metrics in the registry r.
+func NewRequestMetrics(r metrics.Registry) *RequestMetrics {
+	m := &RequestMetrics{
+		good:    metrics.NewRegisteredCounter("Requests{Good=true}", r),
+		bad:     metrics.NewRegisteredCounter("Requests{Good=false}", r),
+		latency: metrics.NewRegisteredHistogram("RequestLatencyMicroseconds", r, NewBucketSample()),
+	}
+	m.refused = newCopyMap(maxReasons, func(k refusalKey) metrics.Counter {
+		return metrics.GetOrRegisterCounter("Refusals{Reason="+string(k.reason)+",Outcome="+k.outcome.String()+"}", r)
+	})
+	return m
+}
+
+// Observe implements lavenderridge.Observer.
+func (m *RequestMetrics) Observe(o lavenderridge.Observation) {
+	m.latency.Update(o.Latency.Microseconds())
+	if o.Good {
+		m.good.Inc(1)
+	} else {
+		m.bad.Inc(1)
+	}
+	if o.Refusal == nil {
+		return
+	}
+	if c, k := m.refused.get(refusalKey{reason: o.Refusal.Reason, outcome: o.Refusal.Outcome}); k {
+		c.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/policy/operator/alert.go
@@ -0,0 +1,47 @@
+package operator
+
+// An Alert tells how urgent a burn is.
+type Alert uint8
+
+// The alerts, least urgent first.
+const (
+	AlertNone Alert = iota
+	// AlertTicket asks for work within days.
+	AlertTicket
+	// AlertPage asks for a person now.
+	AlertPage
+)
+
+// rules holds the multi-window rules: the burn must be above the rate in the
+// long window, and in the short one as well, so that the alert ends soon after
+// the fault does.
+var rules = []struct {
+	long  Window
+	short Window
+	rate  float64
+	alert Alert
+}{
+	{Window1h, Window5m, 14.4, AlertPage},
+	{Window6h, Window30m, 6, AlertPage},
+	{Window6h, Window30m, 1, AlertTicket},
+}
+
+// AlertOf returns the most urgent alert for the burn rates b of the windows.
+func AlertOf(b [windowCount]float64) Alert {
+	for _, r := range rules {
+		if b[r.long] > r.rate && b[r.short] > r.rate {
+			return r.alert
+		}
+	}
+	return AlertNone
+}
+
+// String returns the name that reports use.
+func (a Alert) String() string {
+	return [...]string{"None", "Ticket", "Page"}[a]
+}
+
+// MarshalText returns the name that reports use.
+func (a Alert) MarshalText() ([]byte, error) {
+	return []byte(a.String()), nil
+}
--- /dev/null
+++ b/internal/policy/operator/series_test.go
@@ -0,0 +1,60 @@
+package operator_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
+)
+
+// sighting is one request as the oracle remembers it.
+type sighting struct {
+	minute int64
+	good   bool
+}
+
+// TestSeriesMatchesOracle compares the windows with a plain list of every
+// request, under times that mostly grow and sometimes step back.
+func TestSeriesMatchesOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s operator.Series
+		var all []sighting
+		now := time.Unix(rapid.Int64Range(0, 1e9).Draw(t, "start"), 0)
+		latest := now.Unix() / 60
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-120, 3600).Draw(t, "seconds")) * time.Second)
+			m := now.Unix() / 60
+			latest = max(latest, m)
+			for range rapid.IntRange(0, 5).Draw(t, "requests") {
+				g := rapid.Bool().Draw(t, "good")
+				s.Add(now, g)
+				all = append(all, sighting{minute: m, good: g})
+			}
+			if m < latest {
+				continue
+			}
+			c := s.Counts(now)
+			for _, w := range operator.Windows() {
+				if x := count(all, m, int64(w.Span()/time.Minute)); c[w] != x {
+					t.Fatalf("window %s: %+v; want %+v", w, c[w], x)
+				}
+			}
+		}
+	})
+}
+
+func count(a []sighting, m, n int64) operator.Counts {
+	var c operator.Counts
+	for _, v := range a {
+		switch {
+		case v.minute > m || m-v.minute >= n:
+		case v.good:
+			c.Good++
+		default:
+			c.Bad++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/policy/operator/window.go
@@ -0,0 +1,34 @@
+package operator
+
+import "time"
+
+// A Window is one of the spans of time over which burn is counted.
+type Window int
+
+// The windows, shortest first.
+const (
+	Window5m Window = iota
+	Window30m
+	Window1h
+	Window6h
+
+	windowCount
+)
+
+// spans holds the length of each window.
+var spans = [windowCount]time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour}
+
+// Span returns the length of the window.
+func (w Window) Span() time.Duration {
+	return spans[w]
+}
+
+// String returns the name that reports use.
+func (w Window) String() string {
+	return [windowCount]string{"5m", "30m", "1h", "6h"}[w]
+}
+
+// Windows returns every window, shortest first.
+func Windows() []Window {
+	return []Window{Window5m, Window30m, Window1h, Window6h}
+}
--- /dev/null
+++ b/internal/transport/operatorhttp/client.go
@@ -0,0 +1,82 @@
+package operatorhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const maxAnswer = 16 * lavenderridge.Mebibyte
+
+// A Client asks one daemon what operators want to know.
+type Client struct {
+	http    *kratoshttp.Client
+	pool    *http.Transport
+	address lavenderridge.Address
+}
+
+// NewClient returns a client of the daemon with the operator address a.
+func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
+	p := &http.Transport{}
+	h, e := kratoshttp.NewClient(c,
+		kratoshttp.WithTransport(p),
+		kratoshttp.WithTimeout(0),
+		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
+	)
+	if e != nil {
+		return nil, fmt.Errorf("operatorhttp: %w", e)
+	}
+	return &Client{http: h, pool: p, address: a}, nil
+}
+
+// Status returns the daemon's status.
+func (l *Client) Status(c context.Context) (Status, error) {
+	var s Status
+	e := l.get(c, "/status", &s)
+	return s, e
+}
+
+// Decisions returns the decisions that q selects, oldest first.
+func (l *Client) Decisions(c context.Context, q DecisionQuery) ([]lavenderridge.Decision, error) {
+	var a []lavenderridge.Decision
+	e := l.get(c, "/decisions?"+q.values().Encode(), &a)
+	return a, e
+}
+
+// Burn returns what the daemon has counted.
+func (l *Client) Burn(c context.Context) (Burn, error) {
+	var b Burn
+	e := l.get(c, "/burn", &b)
+	return b, e
+}
+
+// Close ends idle connections.
+func (l *Client) Close() error {
+	l.pool.CloseIdleConnections()
+	return l.http.Close()
+}
+
+func (l *Client) get(c context.Context, p string, v any) error {
+	r, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+string(l.address)+p, http.NoBody)
+	if e != nil {
+		return fmt.Errorf("operatorhttp: %w", e)
+	}
+	a, e := l.http.Do(r)
+	if e != nil {
+		return fmt.Errorf("operatorhttp: %w", e)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("operatorhttp: %s answered %s", l.address, a.Status)
+	}
+	if e := json.NewDecoder(io.LimitReader(a.Body, int64(maxAnswer))).Decode(v); e != nil {
+		return fmt.Errorf("operatorhttp: answer of %s: %w", l.address, e)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/operatorhttp/metrics.go
@@ -0,0 +1,123 @@
+package operatorhttp
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const metricPrefix = "lavenderridge_"
+
+// quantiles are the parts of the values that summaries tell of.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// metricName is the name of a registered metric, taken apart. The registry
+// knows no labels; a name such as "Requests{Good=true}" carries them.
+type metricName struct {
+	family string
+	labels []string
+}
+
+// WriteMetrics writes the metrics of the registry r to w in the Prometheus
+// text format. Names in Pascal case become snake case; counters end in _total.
+func WriteMetrics(w io.Writer, r metrics.Registry) error {
+	m := map[string]any{}
+	r.Each(func(n string, v any) { m[n] = v })
+	b := bufio.NewWriter(w)
+	t := map[string]bool{}
+	for _, n := range slices.Sorted(maps.Keys(m)) {
+		writeMetric(b, t, parseMetricName(n), m[n])
+	}
+	return b.Flush()
+}
+
+func parseMetricName(n string) metricName {
+	f, l, _ := strings.Cut(n, "{")
+	m := metricName{family: metricPrefix + snakeCase(f)}
+	for p := range strings.SplitSeq(strings.TrimSuffix(l, "}"), ",") {
+		if k, v, o := strings.Cut(p, "="); o {
+			m.labels = append(m.labels, snakeCase(k)+"="+strconv.Quote(v))
+		}
+	}
+	return m
+}
+
+// series returns the name with the suffix s, its labels and further labels a.
+func (m metricName) series(s string, a ...string) string {
+	l := slices.Concat(m.labels, a)
+	if len(l) == 0 {
+		return m.family + s
+	}
+	return m.family + s + "{" + strings.Join(l, ",") + "}"
+}
+
+func writeMetric(w io.Writer, t map[string]bool, n metricName, v any) {
+	switch v := v.(type) {
+	case metrics.Counter:
+		writeType(w, t, n.family+"_total", "counter")
+		_, _ = fmt.Fprintf(w, "%s %d\n", n.series("_total"), v.Count())
+	case metrics.Gauge:
+		writeType(w, t, n.family, "gauge")
+		_, _ = fmt.Fprintf(w, "%s %d\n", n.series(""), v.Value())
+	case metrics.GaugeFloat64:
+		writeType(w, t, n.family, "gauge")
+		_, _ = fmt.Fprintf(w, "%s %g\n", n.series(""), v.Value())
+	case metrics.Meter:
+		writeType(w, t, n.family+"_total", "counter")
+		_, _ = fmt.Fprintf(w, "%s %d\n", n.series("_total"), v.Snapshot().Count())
+	case metrics.Timer:
+		n.family += "_nanoseconds"
+		s := v.Snapshot()
+		writeSummary(w, t, n, s.Percentiles(quantiles), s.Sum(), s.Count())
+	case metrics.Histogram:
+		s := v.Snapshot()
+		writeSummary(w, t, n, s.Percentiles(quantiles), s.Sum(), s.Count())
+	}
+}
+
+// writeSummary writes a summary with the quantiles q, a sum and a count.
+func writeSummary(w io.Writer, t map[string]bool, n metricName, q []float64, s, c int64) {
+	writeType(w, t, n.family, "summary")
+	for i, v := range q {
+		l := fmt.Sprintf("quantile=\"%g\"", quantiles[i])
+		_, _ = fmt.Fprintf(w, "%s %g\n", n.series("", l), v)
+	}
+	_, _ = fmt.Fprintf(w, "%s %d\n%s %d\n", n.series("_sum"), s, n.series("_count"), c)
+}
+
+// writeType writes the type k of the family f once; t holds those written.
+func writeType(w io.Writer, t map[string]bool, f, k string) {
+	if t[f] {
+		return
+	}
+	t[f] = true
+	_, _ = fmt.Fprintf(w, "# TYPE %s %s\n", f, k)
+}
+
+// snakeCase returns the Pascal-case name s in snake case.
+func snakeCase(s string) string {
+	var b strings.Builder
+	l := false
+	for _, c := range s {
+		switch {
+		case unicode.IsUpper(c):
+			if l {
+				b.WriteByte('_')
+			}
+			b.WriteRune(unicode.ToLower(c))
+		case unicode.IsLower(c) || unicode.IsDigit(c):
+			b.WriteRune(c)
+		default:
+			b.WriteByte('_')
+		}
+		l = unicode.IsLower(c) || unicode.IsDigit(c)
+	}
+	return b.String()
+}
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -1,40 +1,131 @@
 package operatorhttp
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lavenderridge/lavenderridge"
 )
 
+// Bounds of what operators' requests may take.
 const (
-	readHeaderTimeout = 5 * time.Second
-	writeTimeout      = 30 * time.Second
-	maxHeader         = 16 << 10
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = time.Minute
+	stopTimeout  = time.Second
+	maxHeader    = 16 << 10
+	maxRequests  = 16
 )
 
-// A Server answers operators.
+// A Server answers operators. It only reads.
 type Server struct {
 	*kratoshttp.Server
+	status    func() Status
+	decisions func(q DecisionQuery) []lavenderridge.Decision
+	burn      func() Burn
+	metrics   metrics.Registry
+	places    chan struct{}
 }
 
 // NewServer returns a server on the listener l. The function f gives the
 // daemon's status.
-func NewServer(l net.Listener, f func() Status) *Server {
-	s := &Server{Server: kratoshttp.NewServer(
+func NewServer(l net.Listener, f func() Status, o ...Option) *Server {
+	s := &Server{
+		status:    f,
+		decisions: func(DecisionQuery) []lavenderridge.Decision { return []lavenderridge.Decision{} },
+		burn:      func() Burn { return Burn{} },
+		metrics:   metrics.NewRegistry(),
+		places:    make(chan struct{}, maxRequests),
+	}
+	for _, v := range o {
+		v(s)
+	}
+	s.Server = kratoshttp.NewServer(
 		kratoshttp.Listener(l),
 		kratoshttp.Address(l.Addr().String()),
 		kratoshttp.Timeout(0),
-	)}
-	s.ReadHeaderTimeout = readHeaderTimeout
-	s.WriteTimeout = writeTimeout
+		kratoshttp.Filter(s.limit),
+	)
+	s.ReadTimeout, s.ReadHeaderTimeout = readTimeout, readTimeout
+	s.WriteTimeout, s.IdleTimeout = writeTimeout, idleTimeout
 	s.MaxHeaderBytes = maxHeader
-	s.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, f()) })
+	s.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
+	s.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.burn()) })
+	s.HandleFunc("/decisions", s.serveDecisions)
+	s.HandleFunc("/metrics", s.serveMetrics)
+	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
+	s.HandleFunc("/readyz", s.serveReady)
 	return s
 }
 
+// Run serves until c ends.
+func (s *Server) Run(c context.Context) error {
+	x := context.WithoutCancel(c)
+	f := context.AfterFunc(c, func() {
+		t, n := context.WithTimeout(x, stopTimeout)
+		defer n()
+		if s.Stop(t) != nil {
+			_ = s.Close()
+		}
+	})
+	defer f()
+	if e := s.Start(x); e != nil {
+		return fmt.Errorf("operatorhttp: %w", e)
+	}
+	return nil
+}
+
+// limit refuses what the server does not do, bodies, and requests above a
+// number at once.
+func (s *Server) limit(n http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Method != http.MethodGet && q.Method != http.MethodHead {
+			http.Error(w, "only GET and HEAD are allowed", http.StatusMethodNotAllowed)
+			return
+		}
+		if q.ContentLength != 0 {
+			http.Error(w, "no body is allowed", http.StatusRequestEntityTooLarge)
+			return
+		}
+		select {
+		case s.places <- struct{}{}:
+			defer func() { <-s.places }()
+			n.ServeHTTP(w, q)
+		default:
+			http.Error(w, "too many requests at once", http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (s *Server) serveDecisions(w http.ResponseWriter, q *http.Request) {
+	v, e := parseDecisionQuery(q.URL.Query())
+	if e != nil {
+		http.Error(w, e.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, s.decisions(v))
+}
+
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = WriteMetrics(w, s.metrics)
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if v := s.status(); !v.Ready || v.Leaving {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -12,10 +12,19 @@
 	DataCentre  lavenderridge.DataCentreID
 	Service     lavenderridge.ServiceID
 	Incarnation lavenderridge.Incarnation
+	StartedAt   time.Time
 	Ready       bool
 	// Leaving tells that the daemon takes no new work because it stops.
-	Leaving    bool
-	Versions   lavenderridge.Versions
-	AcceptedAt time.Time
-	Load       lavenderridge.Load
+	Leaving  bool
+	Versions lavenderridge.Versions
+	// CatalogueDigest and InstanceListDigest tell two documents of the same
+	// version apart.
+	CatalogueDigest    string
+	InstanceListDigest string
+	AcceptedAt         time.Time
+	Load               lavenderridge.Load
+	// KeysNotAfter is when the daemon's certificate expires.
+	KeysNotAfter time.Time
+	// PeersRefused counts the handshakes with other daemons that were refused.
+	PeersRefused uint64
 }
