Run whole meshes in one process for trials and measurements

internal/standin/mesh starts real daemons with stand-ins for the configuration service and the backend servers, so that commands that measure or demonstrate do not each bring a harness of their own.

--- /dev/null
+++ b/internal/standin/mesh/option.go
@@ -0,0 +1,56 @@
+package mesh
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+)
+
+// An Option changes a Mesh.
+type Option func(*Mesh)
+
+// WithDataCentres sets the data centres; the default is two.
+func WithDataCentres(d ...lavenderridge.DataCentreID) Option {
+	return func(m *Mesh) { m.dataCentres = d }
+}
+
+// WithServices sets the services; the default is one, "roster".
+func WithServices(s ...lavenderridge.ServiceID) Option {
+	return func(m *Mesh) { m.services = s }
+}
+
+// WithReplicas sets the number of instances of each service in each data
+// centre; the default is two.
+func WithReplicas(n int) Option {
+	return func(m *Mesh) { m.replicas = n }
+}
+
+// WithCatalogue makes f change the catalogue before it is first published.
+func WithCatalogue(f func(*lavenderridge.Catalogue)) Option {
+	return func(m *Mesh) { m.change = f }
+}
+
+// WithServiceTime sets how long a backend server takes for a request; the
+// default is 2 ms.
+func WithServiceTime(d time.Duration) Option {
+	return func(m *Mesh) { m.serviceTime = d }
+}
+
+// WithBackend makes f give the handler of each instance's backend server.
+func WithBackend(f func(lavenderridge.Instance) http.Handler) Option {
+	return func(m *Mesh) { m.backend = f }
+}
+
+// WithLogger makes the daemons log to l.
+func WithLogger(l *zap.Logger) Option {
+	return func(m *Mesh) { m.log = l }
+}
+
+// WithConfig makes f change the settings of each daemon before it starts.
+func WithConfig(f func(*assembly.Config)) Option {
+	return func(m *Mesh) { m.configure = f }
+}
