Add the load tool and the trial

`load` sends a bounded open-loop load: latencies run from the moment at which a request was due, so a stalled daemon can't hide (a closed loop was ruled out for that reason). `try` runs the main job on one machine without set-up and ends non-zero when a promise that it can see broke.

--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -28,7 +28,7 @@
 	p := kingpin.New("lavenderridge", "Distributes a service mesh's configuration and routes requests by it.")
 	p.UsageWriter(x).ErrorWriter(x)
 	m := map[string]command{}
-	for _, n := range []func(*kingpin.Application, io.Writer) command{newServeCmd, newStatusCmd} {
+	for _, n := range []func(*kingpin.Application, io.Writer) command{newServeCmd, newStatusCmd, newLoadCmd, newTryCmd} {
 		v := n(p, w)
 		m[v.name()] = v
 	}
--- /dev/null
+++ b/internal/load/caller/generator.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const pace = time.Millisecond
+
+// A Generator sends the requests of a plan.
+type Generator struct {
+	plan   Plan
+	pool   *http.Transport
+	client *kratoshttp.Client
+	mix    []Share
+}
+
+// due is one request of the plan.
+type due struct {
+	number int
+	offset time.Duration
+}
+
+// NewGenerator returns a generator of the plan p, or Findings.
+func NewGenerator(c context.Context, p Plan) (*Generator, error) {
+	if e := p.Check().Err(); e != nil {
+		return nil, e
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: p.Concurrency, MaxConnsPerHost: p.Concurrency, DisableCompression: true}
+	k, e := kratoshttp.NewClient(c,
+		kratoshttp.WithTransport(t),
+		kratoshttp.WithTimeout(p.Timeout),
+		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
+	)
+	if e != nil {
+		return nil, fmt.Errorf("load: %w", e)
+	}
+	g := &Generator{plan: p, pool: t, client: k}
+	for _, s := range p.Mix {
+		for range s.Weight {
+			g.mix = append(g.mix, s)
+		}
+	}
+	return g, nil
+}
+
+// Run sends requests until the plan's duration has passed or c ends, waits for
+// the last ones and returns the report.
+func (g *Generator) Run(c context.Context) *Report {
+	t := time.Now()
+	q := make(chan due, g.plan.Concurrency)
+	a := make([]*worker, g.plan.Concurrency)
+	var w sync.WaitGroup
+	for i := range a {
+		a[i] = newWorker(g, t)
+		w.Go(func() { a[i].run(c, q) })
+	}
+	g.schedule(c, t, q)
+	close(q)
+	w.Wait()
+	g.pool.CloseIdleConnections()
+	return merge(time.Since(t), a)
+}
+
+// schedule passes on each request when it is due.
+func (g *Generator) schedule(c context.Context, t time.Time, q chan<- due) {
+	k := time.NewTicker(pace)
+	defer k.Stop()
+	n := 0
+	for {
+		d := min(time.Since(t), g.plan.Duration)
+		for ; ; n++ {
+			o := time.Duration(float64(n) / float64(g.plan.Rate) * float64(time.Second))
+			if o >= d {
+				break
+			}
+			select {
+			case q <- due{number: n, offset: o}:
+			case <-c.Done():
+				return
+			}
+		}
+		if d == g.plan.Duration {
+			return
+		}
+		select {
+		case <-k.C:
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// choose returns the kind of the request n and the target of its first send.
+func (g *Generator) choose(n int) (Share, *rand.Rand) {
+	r := rand.New(rand.NewPCG(g.plan.Seed, uint64(n)))
+	return g.mix[r.IntN(len(g.mix))], r
+}
+
+func (g *Generator) target(n int) lavenderridge.Address {
+	return g.plan.Targets[n%len(g.plan.Targets)]
+}
+
+func merge(d time.Duration, a []*worker) *Report {
+	var b []*bin
+	s, x := 0, 0
+	for _, w := range a {
+		for i, v := range w.bins {
+			for len(b) <= i {
+				b = append(b, newBin())
+			}
+			if v != nil {
+				b[i].add(v)
+			}
+		}
+		s += w.resent
+		x += w.differing
+	}
+	r := newReport(d, b)
+	r.Resent, r.Differing = s, x
+	return r
+}
--- /dev/null
+++ b/internal/standin/trial/trial.go
@@ -0,0 +1,226 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/load/caller"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
+)
+
+// Bounds of what the users were promised.
+const (
+	convergenceBound = 6 * time.Second
+	drainBound       = 5 * time.Second
+)
+
+// The course of the trial.
+const (
+	startTimeout = 10 * time.Second
+	warmUp       = time.Second
+	pause        = 500 * time.Millisecond
+	outFor       = 3 * time.Second
+	loadTime     = 9 * time.Second
+	loadRate     = 200
+	concurrency  = 64
+	callTimeout  = 2 * time.Second
+	resends      = 0.3
+)
+
+const leavingDataCentre lavenderridge.DataCentreID = "fukuoka"
+
+// A Trial runs two data centres with two services under load.
+type Trial struct {
+	mesh   *mesh.Mesh
+	result Result
+}
+
+// NewTrial starts the daemons of a trial.
+func NewTrial(c context.Context) (*Trial, error) {
+	m, e := mesh.NewMesh(c, mesh.WithServices("roster", "billing"))
+	if e != nil {
+		return nil, fmt.Errorf("trial: %w", e)
+	}
+	return &Trial{mesh: m}, nil
+}
+
+// Run runs the trial to its end and returns what was seen.
+func (t *Trial) Run(c context.Context) (*Result, error) {
+	if e := t.start(c); e != nil {
+		return nil, e
+	}
+	g, e := caller.NewGenerator(c, t.plan())
+	if e != nil {
+		return nil, e
+	}
+	f := make(chan *caller.Report, 1)
+	go func() { f <- g.Run(c) }()
+	if e := t.operate(c); e != nil {
+		return nil, e
+	}
+	t.result.Load = <-f
+	t.checkLoad()
+	t.checkRuns()
+	t.checkStop()
+	return &t.result, c.Err()
+}
+
+// Close stops what the trial has started.
+func (t *Trial) Close() error {
+	return t.mesh.Close()
+}
+
+func (t *Trial) plan() caller.Plan {
+	p := caller.Plan{
+		Mix: []caller.Share{
+			{Path: "/roster/read/list", Weight: 6},
+			{Path: "/billing/read/state", Weight: 2},
+			{Path: "/billing/write/payment", Weight: 2, Keyed: true},
+		},
+		Rate: loadRate, Concurrency: concurrency, Duration: loadTime, Timeout: callTimeout, Resends: resends, Seed: 1,
+	}
+	for _, m := range t.mesh.Members {
+		p.Targets = append(p.Targets, m.Caller())
+	}
+	return p
+}
+
+func (t *Trial) start(c context.Context) error {
+	c, f := context.WithTimeout(c, startTimeout)
+	defer f()
+	s := time.Now()
+	if e := t.mesh.Wait(c, func(d *assembly.Daemon) bool { return d.Status().Ready }); e != nil {
+		return e
+	}
+	t.add(Step{Name: "start", Seen: fmt.Sprintf("%d daemons in 2 data centres ready after %s", len(t.mesh.Members), since(s)), Took: time.Since(s)})
+	return nil
+}
+
+// operate does what operators do while the load runs.
+func (t *Trial) operate(c context.Context) error {
+	if e := sleep(c, warmUp); e != nil {
+		return e
+	}
+	t.mesh.Catalogue.Entries[0].Limits.Attempts = 2
+	if e := t.converge(c, "change an entry", t.mesh.Publish); e != nil {
+		return e
+	}
+	if e := sleep(c, pause); e != nil {
+		return e
+	}
+	if e := t.converge(c, "take "+string(leavingDataCentre)+" out", func() error { return t.mesh.SetDataCentre(leavingDataCentre, lavenderridge.OutOfService) }); e != nil {
+		return e
+	}
+	if e := t.checkDrained(c); e != nil {
+		return e
+	}
+	return t.converge(c, "bring "+string(leavingDataCentre)+" back", func() error { return t.mesh.SetDataCentre(leavingDataCentre, lavenderridge.InService) })
+}
+
+// converge publishes by f and waits until the version is in force everywhere.
+func (t *Trial) converge(c context.Context, n string, f func() error) error {
+	s := time.Now()
+	v := t.mesh.Members[0].Daemon.Status().Versions.Catalogue
+	if e := f(); e != nil {
+		return e
+	}
+	c, x := context.WithTimeout(c, convergenceBound)
+	defer x()
+	p := Step{Name: n, Seen: "in force everywhere after " + since(s)}
+	if e := t.mesh.Wait(c, func(d *assembly.Daemon) bool { return d.Status().Versions.Catalogue > v }); e != nil {
+		p.Broken = fmt.Sprintf("not in force everywhere within %s", convergenceBound)
+	}
+	p.Took = time.Since(s)
+	p.Seen = "in force everywhere after " + since(s)
+	t.add(p)
+	return nil
+}
+
+// checkDrained checks that a data centre out of service gets no new work.
+func (t *Trial) checkDrained(c context.Context) error {
+	if e := sleep(c, pause); e != nil {
+		return e
+	}
+	b := t.runsIn(leavingDataCentre)
+	if e := sleep(c, outFor); e != nil {
+		return e
+	}
+	n := t.runsIn(leavingDataCentre) - b
+	s := Step{Name: "out of service", Seen: fmt.Sprintf("%d new requests there in %s", n, outFor)}
+	if n > 0 {
+		s.Broken = fmt.Sprintf("new work in a data centre out of service (bound %s)", drainBound)
+	}
+	t.add(s)
+	return nil
+}
+
+func (t *Trial) checkLoad() {
+	n := &t.result.Load.Counts
+	s := Step{Name: "callers", Seen: fmt.Sprintf("%d sent, %d answered, p99 %s", n.Sent, n.Answered, t.result.Load.P99.Round(10*time.Microsecond))}
+	if n.Answered != n.Sent {
+		s.Broken = fmt.Sprintf("%d requests not answered: %v", n.Sent-n.Answered, n.Reasons)
+	}
+	t.add(s)
+}
+
+func (t *Trial) checkRuns() {
+	p := 0
+	for _, m := range t.mesh.Members {
+		p = max(p, int(backend(m).Peak()))
+	}
+	s := Step{Name: "backend servers", Seen: fmt.Sprintf("at most %d requests at once at one backend server", p)}
+	if l := int(t.mesh.Catalogue.Services[0].Slots); p > l {
+		s.Broken = fmt.Sprintf("more than its %d slots", l)
+	}
+	t.add(s)
+}
+
+func (t *Trial) checkStop() {
+	s := Step{Name: "stop"}
+	b := time.Now()
+	if e := t.mesh.Members[0].Stop(); e != nil {
+		s.Broken = e.Error()
+	}
+	s.Took = time.Since(b)
+	s.Seen = "one daemon stopped gracefully in " + since(b)
+	t.add(s)
+}
+
+func (t *Trial) runsIn(d lavenderridge.DataCentreID) int {
+	n := 0
+	for _, m := range t.mesh.Members {
+		if m.Instance.DataCentre == d {
+			for _, v := range backend(m).Runs() {
+				n += v
+			}
+		}
+	}
+	return n
+}
+
+func (t *Trial) add(s Step) {
+	t.result.Steps = append(t.result.Steps, s)
+}
+
+func backend(m *mesh.Member) *backendserver.Server {
+	return m.Backend.(*backendserver.Server)
+}
+
+func since(t time.Time) string {
+	return time.Since(t).Round(100 * time.Microsecond).String()
+}
+
+func sleep(c context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.Done():
+		return c.Err()
+	case <-t.C:
+		return nil
+	}
+}
