--- /dev/null
+++ b/internal/cmd/lavenderridge/trycmd_test.go
@@ -0,0 +1,20 @@
+package lavenderridge_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/lavenderridge/lavenderridge/internal/cmd/lavenderridge"
+)
+
+// TestTry runs the trial to its end; it exits 0 only when every promise held.
+func TestTry(t *testing.T) {
+	var w, x bytes.Buffer
+	if n := lavenderridge.Run([]string{"try"}, &w, &x); n != 0 {
+		t.Fatalf("exit code %d\n%s%s", n, &w, &x)
+	}
+	if n := strings.Count(w.String(), "kept\n"); n != 8 {
+		t.Errorf("%d steps kept; want 8\n%s", n, &w)
+	}
+}
