--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -32,6 +32,7 @@
 	owner         *ownerPart
 	home          *homePart
 	entry         *entryPart
+	callerAddress lavenderridge.Address
 	records       *operatorRecords
 	operator      *operatorPart
 	closers       []func() error
@@ -112,11 +113,7 @@
 
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
-	u, e := d.entry.server.Endpoint()
-	if e != nil {
-		return ""
-	}
-	return lavenderridge.Address(u.Host)
+	return d.callerAddress
 }
 
 // PeerAddress returns where the daemon answers other daemons.
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 
+	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/caller"
 	callerpolicy "github.com/lavenderridge/lavenderridge/internal/policy/caller"
 	"github.com/lavenderridge/lavenderridge/internal/transport/callerhttp"
@@ -20,6 +21,7 @@
 		return nil, fmt.Errorf("assembly: caller address: %w", e)
 	}
 	d.closeLater(l.Close)
+	d.callerAddress = lavenderridge.Address(l.Addr().String())
 	f := caller.NewForwardHandler(callerpolicy.NewRandomRouter(), d.home.router, d.clock, d.peers(), d.sender, d.home.handler)
 	h := caller.NewEntryHandler(d.configuration.store, d.clock, f)
 	return &entryPart{server: callerhttp.NewServer(l, h, d.config.MaxBody)}, nil
