--- /dev/null
+++ b/internal/cmd/burnplot/doc.go
@@ -0,0 +1,2 @@
+// Package burnplot draws a report of service-level burn.
+package burnplot
--- a/internal/cmd/lavenderridge/session_test.go
+++ b/internal/cmd/lavenderridge/session_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -22,13 +25,20 @@
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata/session", func(t *testing.T, p string) {
 		d := t.TempDir()
+		names := map[string]string{"DIR": d}
 		datadriven.RunTest(t, p, func(t *testing.T, x *datadriven.TestData) string {
 			switch x.Cmd {
 			case "file":
 				writeFile(t, filepath.Join(d, x.CmdArgs[0].Key), x.Input)
 				return ""
 			case "run":
-				return runSession(d, x.Input)
+				return runSession(names, x.Input)
+			case "operator":
+				n := x.CmdArgs[0].Key
+				names[n] = startOperator(t, x.Input)
+				return ""
+			case "size":
+				return fileSize(t, filepath.Join(d, x.CmdArgs[0].Key))
 			case "modes":
 				return fileModes(t, d)
 			default:
@@ -49,19 +59,52 @@
 	}
 }
 
-// runSession runs each line of s as a command line, in which DIR stands for
-// the directory d.
-func runSession(d, s string) string {
+// startOperator starts a server that answers each path with a fixed body: a
+// line of s holds the path and the body.
+func startOperator(t *testing.T, s string) string {
+	t.Helper()
+	m := http.NewServeMux()
+	for l := range strings.Lines(s) {
+		p, b, _ := strings.Cut(strings.TrimSpace(l), " ")
+		m.HandleFunc(p, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, b) })
+	}
+	h := httptest.NewServer(m)
+	t.Cleanup(h.Close)
+	return strings.TrimPrefix(h.URL, "http://")
+}
+
+// runSession runs each line of s as a command line. The keys of m stand for
+// their values in command lines and in the output.
+func runSession(m map[string]string, s string) string {
 	var b strings.Builder
 	for l := range strings.Lines(s) {
+		f := strings.Fields(l)
+		for i := range f {
+			for k, v := range m {
+				f[i] = strings.ReplaceAll(f[i], k, v)
+			}
+		}
 		var w, x bytes.Buffer
-		n := lavenderridge.Run(strings.Fields(strings.ReplaceAll(l, "DIR", d)), &w, &x)
-		o := strings.ReplaceAll(w.String()+x.String(), d, "DIR")
-		fmt.Fprintf(&b, "%sexit %d\n", dates.ReplaceAllString(o, "DATE"), n)
+		n := lavenderridge.Run(f, &w, &x)
+		o := dates.ReplaceAllString(w.String()+x.String(), "DATE")
+		for k, v := range m {
+			o = strings.ReplaceAll(o, v, k)
+		}
+		fmt.Fprintf(&b, "%sexit %d\n", o, n)
 	}
 	return b.String()
 }
 
+// fileSize tells whether the file p has content.
+func fileSize(t *testing.T, p string) string {
+	t.Helper()
+	i, e := os.Stat(p)
+	if e != nil {
+		return "none\n"
+	}
+	return fmt.Sprintf("more than 1000 bytes: %t\n", i.Size() > 1000)
+}
+
 func fileModes(t *testing.T, d string) string {
 	t.Helper()
 	var b strings.Builder
--- a/internal/cmd/lavenderridge/statuscmd.go
+++ b/internal/cmd/lavenderridge/statuscmd.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,22 +12,18 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 )
 
-const statusTimeout = 5 * time.Second
-
-// statusCmd prints a daemon's status.
+// statusCmd shows the status of daemons.
 type statusCmd struct {
-	clause  *kingpin.CmdClause
-	out     io.Writer
-	address string
-	json    bool
+	clause    *kingpin.CmdClause
+	out       io.Writer
+	operators operators
 }
 
 var _ command = (*statusCmd)(nil)
 
 func newStatusCmd(a *kingpin.Application, w io.Writer) command {
-	s := &statusCmd{clause: a.Command("status", "Show a daemon's status."), out: w}
-	s.clause.Flag("operator", "Operator address of the daemon.").Default("127.0.0.1:7300").StringVar(&s.address)
-	s.clause.Flag("json", "Print JSON.").BoolVar(&s.json)
+	s := &statusCmd{clause: a.Command("status", "Show the status of daemons."), out: w}
+	s.operators.flags(s.clause)
 	return s
 }
 
@@ -37,25 +32,43 @@
 }
 
 func (s *statusCmd) run(c context.Context) error {
-	c, f := context.WithTimeout(c, statusTimeout)
-	defer f()
-	r, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+s.address+"/status", http.NoBody)
-	if e != nil {
-		return fmt.Errorf("status: %w", e)
+	a, x := ask(c, &s.operators, func(c context.Context, l *operatorhttp.Client) (operatorhttp.Status, error) {
+		return l.Status(c)
+	})
+	if s.operators.json {
+		return errors.Join(printJSON(s.out, a), x)
 	}
-	p, e := http.DefaultClient.Do(r)
-	if e != nil {
-		return fmt.Errorf("status: %w", e)
+	t := newTable(s.out)
+	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSERVICE\tSTATE\tCATALOGUE\tINSTANCES\tACCEPTED\tIN FLIGHT\tKEYS UNTIL")
+	for _, v := range a {
+		if v.Error == "" {
+			printStatus(t, &v.Value)
+		}
 	}
-	defer func() { _ = p.Body.Close() }()
-	var v operatorhttp.Status
-	if e := json.NewDecoder(p.Body).Decode(&v); e != nil {
-		return fmt.Errorf("status: %w", e)
+	return errors.Join(t.Flush(), x)
+}
+
+func printStatus(w io.Writer, s *operatorhttp.Status) {
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%d/%d\t%s\n",
+		s.Instance, s.DataCentre, s.Service, stateOf(s),
+		s.Versions.Catalogue, s.CatalogueDigest, s.Versions.InstanceList, s.InstanceListDigest,
+		formatTime(s.AcceptedAt), s.Load.InFlight, s.Load.Limit, formatTime(s.KeysNotAfter))
+}
+
+func stateOf(s *operatorhttp.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready"
 	}
-	if s.json {
-		return json.NewEncoder(s.out).Encode(v)
+}
+
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
 	}
-	_, e = fmt.Fprintf(s.out, "instance     %s\ndata centre  %s\nservice      %s\nready        %t\ncatalogue    version %d\ninstances    version %d\n",
-		v.Instance, v.DataCentre, v.Service, v.Ready, v.Versions.Catalogue, v.Versions.InstanceList)
-	return e
+	return t.UTC().Format(shortDateLayout)
 }
