--- a/internal/cmd/burnplot/save.go
+++ b/internal/cmd/burnplot/save.go
@@ -41,6 +41,8 @@
 		n[i] = l.Name
 	}
 	v.NominalX(n...)
+	// The space on the right is for the legend.
+	v.X.Min, v.X.Max = -0.6, float64(len(a))
 	v.Add(plotter.NewGrid())
 	v.Legend.Top = true
 	if e := v.Save(plotWidth, plotHeight, p); e != nil {
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -51,7 +51,7 @@
 	k := p.Command("keys", "Make the keys with which daemons trust each other.")
 	a := []command{
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w), newExplainCmd(p, w), newBurnCmd(p, w),
-		newLoadCmd(p, w), newTryCmd(p, w),
+		newLoadCmd(p, w), newTryCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
 	}
 	m := make(map[string]command, len(a))
