Admit work by a limit that ramps, learns and isolates crash suspects

Cause: the daemon admitted by the slots alone, so a cold, shedding or crashing backend server got all it asked for.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -76,23 +76,33 @@
 // Run serves until c ends, and then stops without cutting a running request.
 func (d *Daemon) Run(c context.Context) error {
 	g, c := errgroup.WithContext(c)
+	// What other daemons and operators need outlives the requests in flight:
+	// neighbours hear that this daemon leaves, and late requests are refused.
 	p, f := context.WithCancel(context.WithoutCancel(c))
 	defer f()
-	g.Go(func() error { return d.configuration.run(c) })
-	g.Go(func() error { return d.operator.run(c) })
+	g.Go(func() error { return d.configuration.run(p) })
+	g.Go(func() error { return d.operator.run(p) })
+	g.Go(func() error { return d.owner.owner.Run(p) })
+	g.Go(func() error { return d.server.Serve(p) })
 	g.Go(func() error {
-		// The peer server outlives the caller server, whose last requests need
-		// its connections.
 		defer f()
-		return d.entry.server.Run(c, d.config.StopTimeout)
+		return d.serveCallers(c)
 	})
-	g.Go(func() error { return d.server.Serve(p) })
 	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
 	e := g.Wait()
 	d.log.Info("DaemonStopped", zap.Error(e))
 	return errors.Join(e, d.close())
 }
 
+// serveCallers answers callers until c ends, and returns when no request of a
+// caller or of another daemon is in flight.
+func (d *Daemon) serveCallers(c context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { return d.owner.stop(c, d) })
+	g.Go(func() error { return d.entry.server.Run(c, d.config.StopTimeout) })
+	return g.Wait()
+}
+
 // Status returns what the daemon says of itself.
 func (d *Daemon) Status() operatorhttp.Status {
 	s := operatorhttp.Status{
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -5,13 +5,13 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
-	backendpolicy "github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
 )
 
 // ownerPart admits work to the daemon's own backend server.
 type ownerPart struct {
-	gate     *backendpolicy.SlotGate
+	service  lavenderridge.ServiceID
+	owner    *backendserver.OwnerHandler
 	handler  lavenderridge.Handler
 	suspects lavenderridge.SuspectStore
 }
@@ -22,16 +22,29 @@
 		return nil, e
 	}
 	d.closeLater(b.Close)
-	g := backendpolicy.NewSlotGate()
-	h := backendserver.NewOwnerHandler(d.configuration.store, g, d.sender, b)
-	return &ownerPart{gate: g, handler: h, suspects: discard{}}, nil
+	h := backendserver.NewOwnerHandler(d.configuration.store, d.sender, b,
+		backendserver.WithClock(d.clock),
+		backendserver.WithRecorder(d.recorder),
+		backendserver.WithReadiness(d.configuration),
+	)
+	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
 }
 
 func (p *ownerPart) load() lavenderridge.Load {
-	return lavenderridge.Load{InFlight: p.gate.InFlight()}
+	return p.owner.Load(p.service)
 }
 
 // leaving reports whether the daemon takes no new work because it stops.
 func (p *ownerPart) leaving() bool {
-	return false
+	return p.owner.Leaving()
+}
+
+// stop refuses new work as soon as c ends, and returns when what runs has
+// ended, or an error after the configured time.
+func (p *ownerPart) stop(c context.Context, d *Daemon) error {
+	<-c.Done()
+	p.owner.Leave()
+	x, f := context.WithTimeout(context.WithoutCancel(c), d.config.StopTimeout)
+	defer f()
+	return p.owner.Drain(x)
 }
--- /dev/null
+++ b/internal/daemon/backendserver/owneroption.go
@@ -0,0 +1,29 @@
+package backendserver
+
+import (
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+)
+
+// An OwnerOption changes an OwnerHandler.
+type OwnerOption func(*OwnerHandler)
+
+// WithClock makes the handler read the clock k.
+func WithClock(k lavenderridge.Clock) OwnerOption {
+	return func(h *OwnerHandler) { h.clock = k }
+}
+
+// WithRecorder makes the handler tell r what it decided.
+func WithRecorder(r lavenderridge.Recorder) OwnerOption {
+	return func(h *OwnerHandler) { h.recorder = r }
+}
+
+// WithReadiness makes the handler refuse work while r is not ready.
+func WithReadiness(r lavenderridge.Readiness) OwnerOption {
+	return func(h *OwnerHandler) { h.readiness = r }
+}
+
+// WithLimiterOptions passes o to the handler's limiter.
+func WithLimiterOptions(o ...backendserver.LimiterOption) OwnerOption {
+	return func(h *OwnerHandler) { h.limiterOptions = o }
+}
--- a/reason.go
+++ b/reason.go
@@ -21,6 +21,7 @@
 	ReasonBadResponse    Reason = "BadResponse"
 	ReasonQuarantined    Reason = "Quarantined"
 	ReasonSuspectBusy    Reason = "SuspectBusy"
+	ReasonCrashed        Reason = "Crashed"
 	ReasonBadKey         Reason = "BadKey"
 	ReasonKeyExpired     Reason = "KeyExpired"
 	ReasonKeyInUse       Reason = "KeyInUse"
--- a/suspect.go
+++ b/suspect.go
@@ -8,6 +8,10 @@
 	Service     ServiceID
 	// Quarantined tells that it crashed a backend server while alone there.
 	Quarantined bool
-	// Remaining is the time until the record expires.
+	// Cleared tells that it succeeded since, and that the record only keeps
+	// older ones from coming back.
+	Cleared bool
+	// Remaining is the time until the record expires. The record of a later
+	// event expires later.
 	Remaining time.Duration
 }
