--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -133,13 +133,14 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.waiting.Add(1)
-	a.serve(t)
+	a.dropLate(t)
 	if !w.alone && len(a.queue) == 0 && a.take(a.limit(w.service)) {
 		a.waiting.Add(-1)
 		return nil, nil
 	}
 	if e := a.refusal(w, t); e != nil {
 		a.waiting.Add(-1)
+		a.serve(t)
 		return nil, e
 	}
 	w.decided = make(chan struct{})
@@ -233,21 +234,24 @@
 	}
 }
 
-// serve gives slots to the first waiters while there are any.
-func (a *Admission) serve(t time.Time) {
-	for len(a.queue) > 0 {
-		w := a.queue[0]
-		if w.late(t) {
-			a.remove(0, t)
+// dropLate refuses the waiters whose deadline has passed.
+func (a *Admission) dropLate(t time.Time) {
+	for i := len(a.queue) - 1; i >= 0; i-- {
+		if w := a.queue[i]; w.late(t) {
+			a.remove(i, t)
 			w.decide(a.refuse(lavenderridge.ReasonDeadline, "the deadline passed before a slot was free", 0))
-			continue
-		}
-		if !a.admit(w, t) {
-			return
 		}
 	}
 }
 
+// serve gives slots to the first waiters while there are any.
+func (a *Admission) serve(t time.Time) {
+	a.dropLate(t)
+	for len(a.queue) > 0 && a.admit(a.queue[0], t) {
+		continue
+	}
+}
+
 // admit gives the first waiter w a slot if there is one.
 func (a *Admission) admit(w *Waiter, t time.Time) bool {
 	if w.alone {
--- a/internal/policy/backendserver/suspects.go
+++ b/internal/policy/backendserver/suspects.go
@@ -153,7 +153,7 @@
 	if k && !n.follows(o) {
 		return false
 	}
-	m[v.Fingerprint] = n
+	m[v.Fingerprint] = n.after(o)
 	return true
 }
 
@@ -162,9 +162,18 @@
 	return d > mergeSlack || d > -mergeSlack && n.state > o.state
 }
 
+// after returns n as it holds after o: a further suspicion does not lift a
+// quarantine.
+func (n suspectRecord) after(o suspectRecord) suspectRecord {
+	if n.state == stateSuspected && o.state == stateQuarantined {
+		n.state = stateQuarantined
+	}
+	return n
+}
+
 func (s *Suspects) put(f lavenderridge.Fingerprint, v suspectRecord, t time.Time) {
 	s.update(t, func(m suspectMap) bool {
-		m[f] = v
+		m[f] = v.after(m[f])
 		return true
 	})
 }
--- /dev/null
+++ b/internal/policy/backendserver/suspects_test.go
@@ -0,0 +1,157 @@
+package backendserver_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+)
+
+// suspectMachine sends one request that crashes each backend server, and some
+// popular innocent ones, to several owners.
+type suspectMachine struct {
+	now     time.Time
+	end     time.Time
+	stores  []*backendserver.Suspects
+	culprit *lavenderridge.Request
+	others  []*lavenderridge.Request
+	crashes map[int]int // of the culprit, by owner
+	spread  bool        // the owners hear of each crash before the next request
+}
+
+func (m *suspectMachine) sendCulprit(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.stores)-1).Draw(t, "owner")
+	v, w := m.stores[i].Judge(m.culprit, m.now)
+	if v == backendserver.Refused {
+		if w <= 0 {
+			t.Fatal("refused without a time")
+		}
+		return
+	}
+	alone := v == backendserver.RunsAlone
+	if !alone {
+		m.crashInnocents(t, i)
+	}
+	m.stores[i].Crashed(m.culprit, alone, m.now)
+	m.crashes[i]++
+	if m.spread {
+		m.spreadAll()
+	}
+}
+
+// crashInnocents makes innocents that run beside the culprit suspects too.
+func (m *suspectMachine) crashInnocents(t *rapid.T, i int) {
+	for _, r := range m.others {
+		if v, _ := m.stores[i].Judge(r, m.now); v == backendserver.RunsFreely && rapid.Bool().Draw(t, "beside") {
+			m.stores[i].Crashed(r, false, m.now)
+		}
+	}
+}
+
+func (m *suspectMachine) sendInnocent(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.stores)-1).Draw(t, "owner")
+	r := rapid.SampledFrom(m.others).Draw(t, "request")
+	v, _ := m.stores[i].Judge(r, m.now)
+	if v == backendserver.Refused {
+		t.Fatalf("%s is quarantined", r.Path)
+	}
+	m.stores[i].Succeeded(r, m.now)
+	if v, _ := m.stores[i].Judge(r, m.now); v != backendserver.RunsFreely {
+		t.Fatalf("%s is suspected after its success", r.Path)
+	}
+}
+
+func (m *suspectMachine) spreadAll() {
+	for _, a := range m.stores {
+		for _, b := range m.stores {
+			b.Merge(a.Suspects(m.now), m.now)
+		}
+	}
+}
+
+func (m *suspectMachine) exchange(t *rapid.T) {
+	a := rapid.SampledFrom(m.stores).Draw(t, "from")
+	b := rapid.SampledFrom(m.stores).Draw(t, "to")
+	s := a.Suspects(m.now)
+	m.sleep(t)
+	b.Merge(s, m.now)
+}
+
+// sleep stays within one quarantine.
+func (m *suspectMachine) sleep(t *rapid.T) {
+	n := m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "sleep")) * time.Millisecond)
+	if n.Before(m.end) {
+		m.now = n
+	}
+}
+
+func (m *suspectMachine) check(t *rapid.T) {
+	n := 0
+	for i, v := range m.crashes {
+		if n += v; v > 2 {
+			t.Fatalf("the culprit crashed owner %d %d times", i, v)
+		}
+	}
+	if m.spread && n > 2 {
+		t.Fatalf("the culprit crashed %d backend servers though the owners heard of each crash", n)
+	}
+}
+
+func TestSuspects(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		t.Run(fmt.Sprintf("spread=%t", spread), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				n := time.Unix(1000, 0)
+				m := &suspectMachine{
+					now: n, end: n.Add(100 * time.Second), spread: spread, crashes: map[int]int{},
+					culprit: &lavenderridge.Request{Service: "billing", Key: "018f"},
+					others:  []*lavenderridge.Request{{Method: "GET", Path: "/a"}, {Method: "GET", Path: "/b"}, {Method: "POST", Path: "/a", Body: []byte("x")}},
+				}
+				for range rapid.IntRange(1, 5).Draw(t, "owners") {
+					m.stores = append(m.stores, backendserver.NewSuspects())
+				}
+				t.Repeat(map[string]func(*rapid.T){
+					"Culprit": m.sendCulprit, "Innocent": m.sendInnocent, "Exchange": m.exchange, "Sleep": m.sleep, "": m.check,
+				})
+			})
+		})
+	}
+}
+
+// TestSuspectsDoNotRenewThemselves passes one record around until it expires.
+func TestSuspectsDoNotRenewThemselves(t *testing.T) {
+	n := time.Unix(1000, 0)
+	s := []*backendserver.Suspects{backendserver.NewSuspects(), backendserver.NewSuspects(), backendserver.NewSuspects()}
+	s[0].Crashed(&lavenderridge.Request{Path: "/a"}, false, n)
+	for i := 0; i < 3*700; i++ {
+		a := s[i%3].Suspects(n)
+		n = n.Add(333 * time.Millisecond)
+		s[(i+1)%3].Merge(a, n)
+	}
+	for i, v := range s {
+		if a := v.Suspects(n); len(a) > 0 {
+			t.Errorf("store %d still holds %+v after %s", i, a, n.Sub(time.Unix(1000, 0)))
+		}
+	}
+}
+
+// TestSuspectsAreBounded makes more suspects than the store keeps.
+func TestSuspectsAreBounded(t *testing.T) {
+	n := time.Unix(1000, 0)
+	s := backendserver.NewSuspects()
+	q := &lavenderridge.Request{Path: "/culprit"}
+	s.Crashed(q, true, n)
+	for i := range 1500 {
+		s.Crashed(&lavenderridge.Request{Path: fmt.Sprint(i)}, false, n.Add(time.Duration(i)*time.Millisecond))
+	}
+	if v, _ := s.Judge(q, n.Add(2*time.Second)); v != backendserver.Refused {
+		t.Error("the quarantined request was dropped for suspects")
+	}
+	if a := s.Suspects(n); len(a) > 32 {
+		t.Errorf("%d records sent", len(a))
+	}
+}
