Route by the power of two choices over nearby targets

Cause: the thin router took any eligible instance at random; it knew neither load nor refusals and crossed data centres for every other request.

It takes the cheaper of two targets in the nearest data centre that has a usable one that is not overloaded, and goes on to the region and then to the others. A refusal or failure leaves a target out for a short time, never all of them; after a failure one request at a time tries it. A daemon uses 16 targets of a service at each distance, by rendezvous hash.

--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -20,7 +20,7 @@
 		return nil, fmt.Errorf("assembly: caller address: %w", e)
 	}
 	d.closeLater(l.Close)
-	f := caller.NewForwardHandler(callerpolicy.NewRandomRouter(), d.home.router, d.clock, d.peers(), d.sender, d.home.handler)
+	f := caller.NewForwardHandler(callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now()), d.home.router, d.clock, d.peers(), d.sender, d.home.handler)
 	h := caller.NewEntryHandler(d.configuration.store, d.clock, f)
 	return &entryPart{server: callerhttp.NewServer(l, h, d.config.MaxBody)}, nil
 }
--- /dev/null
+++ b/internal/policy/caller/routeroption.go
@@ -0,0 +1,16 @@
+package caller
+
+// A RouterOption changes a BalancedRouter.
+type RouterOption func(*BalancedRouter)
+
+// WithSubset bounds the targets of one service at one distance; the default is
+// 16.
+func WithSubset(n int) RouterOption {
+	return func(b *BalancedRouter) { b.subset = n }
+}
+
+// WithRandom replaces the random numbers. The function f returns a number from
+// 0 to below its argument.
+func WithRandom(f func(n int) int) RouterOption {
+	return func(b *BalancedRouter) { b.random = f }
+}
--- /dev/null
+++ b/internal/policy/caller/routing_test.go
@@ -0,0 +1,199 @@
+package caller_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
+)
+
+// routingModel holds what the oracle of the routing needs: plain lists, no
+// weights and no clock but one.
+type routingModel struct {
+	router    *caller.BalancedRouter
+	now       time.Time
+	version   lavenderridge.Version
+	centres   map[lavenderridge.DataCentreID]lavenderridge.ServiceState
+	states    map[lavenderridge.InstanceID]lavenderridge.InstanceState
+	overrides map[lavenderridge.InstanceID]lavenderridge.ServiceState
+	snapshot  *lavenderridge.Snapshot
+	begun     []lavenderridge.InstanceID
+	// refused holds how long each target that refused is to be left alone.
+	refused map[lavenderridge.InstanceID]time.Time
+	// spoken holds the targets that have ever refused.
+	spoken map[lavenderridge.InstanceID]bool
+}
+
+func centreOf(i int) lavenderridge.DataCentreID {
+	return lavenderridge.DataCentreID(fmt.Sprintf("dc-%d", i%3))
+}
+
+func newRoutingModel(t *rapid.T) *routingModel {
+	m := &routingModel{
+		now:       time.Unix(1000, 0),
+		centres:   map[lavenderridge.DataCentreID]lavenderridge.ServiceState{},
+		states:    map[lavenderridge.InstanceID]lavenderridge.InstanceState{},
+		overrides: map[lavenderridge.InstanceID]lavenderridge.ServiceState{},
+		refused:   map[lavenderridge.InstanceID]time.Time{},
+		spoken:    map[lavenderridge.InstanceID]bool{},
+	}
+	k := rapid.IntRange(1, 12).Draw(t, "instances")
+	for i := range k {
+		m.centres[centreOf(i)] = lavenderridge.InService
+		m.states[lavenderridge.InstanceID(fmt.Sprintf("n-%02d", i))] = lavenderridge.InstanceLive
+	}
+	random := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "random") }
+	m.router = caller.NewBalancedRouter("self", "dc-0", m.now, caller.WithRandom(random), caller.WithSubset(rapid.IntRange(1, 5).Draw(t, "subset")))
+	m.publish()
+	return m
+}
+
+func (m *routingModel) publish() {
+	m.version++
+	c := &lavenderridge.Catalogue{Services: []lavenderridge.Service{{ID: "s", Slots: 10}}}
+	for d, s := range m.centres {
+		c.DataCentres = append(c.DataCentres, lavenderridge.DataCentre{ID: d, Region: "r", State: s})
+	}
+	for n, s := range m.overrides {
+		c.Instances = append(c.Instances, lavenderridge.InstanceOverride{ID: n, State: s})
+	}
+	l := &lavenderridge.InstanceList{}
+	for i := range len(m.states) {
+		n := lavenderridge.InstanceID(fmt.Sprintf("n-%02d", i))
+		l.Instances = append(l.Instances, lavenderridge.Instance{ID: n, DataCentre: centreOf(i), Service: "s", State: m.states[n]})
+	}
+	v := lavenderridge.Stamp{Version: m.version}
+	m.snapshot = lavenderridge.NewSnapshot(c, l, lavenderridge.Stamps{Catalogue: v, InstanceList: v}, m.now)
+	// What a target said before it was out of the snapshot is forgotten.
+	for n := range m.refused {
+		if !slices.Contains(m.eligible(), n) {
+			delete(m.refused, n)
+		}
+	}
+}
+
+// eligible is the oracle: it says by the plain lists where new work may go.
+func (m *routingModel) eligible() []lavenderridge.InstanceID {
+	var a []lavenderridge.InstanceID
+	for i := range len(m.states) {
+		n := lavenderridge.InstanceID(fmt.Sprintf("n-%02d", i))
+		if m.states[n] == lavenderridge.InstanceLive && m.centres[centreOf(i)] == lavenderridge.InService && m.overrides[n] != lavenderridge.OutOfService {
+			a = append(a, n)
+		}
+	}
+	return a
+}
+
+func (m *routingModel) route(t *rapid.T, x []lavenderridge.InstanceID) {
+	ok := m.eligible()
+	n, e := m.router.Route(m.snapshot, &lavenderridge.Request{Service: "s"}, x, m.now)
+	if len(ok) == 0 {
+		if f := lavenderridge.AsRefusal(e); e == nil || f.Outcome != lavenderridge.OutcomeNotRun || f.Reason != lavenderridge.ReasonNoTarget {
+			t.Fatalf("routed to %v, error %v; want NotRun NoTarget", n, e)
+		}
+		return
+	}
+	if e != nil {
+		t.Fatalf("refused with %v while %v are eligible", e, ok)
+	}
+	if !slices.Contains(ok, n.ID) {
+		t.Fatalf("routed to %s; eligible are %v", n.ID, ok)
+	}
+	m.checkExclusion(t, n.ID, x)
+	m.router.Begin("s", n.ID)
+	m.begun = append(m.begun, n.ID)
+}
+
+// checkExclusion checks that n has not refused within the last second and was
+// not left out, unless the same holds for all that the router may know.
+func (m *routingModel) checkExclusion(t *rapid.T, n lavenderridge.InstanceID, x []lavenderridge.InstanceID) {
+	if !slices.Contains(x, n) && !m.now.Before(m.refused[n]) {
+		return
+	}
+	for _, o := range m.eligible() {
+		if !m.spoken[o] && !slices.Contains(x, o) && !slices.Contains(m.begun, o) && m.router.Knows("s", o) {
+			t.Fatalf("routed to %s, which was left out or has refused, while %s is free", n, o)
+		}
+	}
+}
+
+func (m *routingModel) end(t *rapid.T) {
+	if len(m.begun) == 0 {
+		t.Skip("nothing in flight")
+	}
+	i := rapid.IntRange(0, len(m.begun)-1).Draw(t, "which")
+	n := m.begun[i]
+	m.begun = slices.Delete(m.begun, i, i+1)
+	l := lavenderridge.Load{InFlight: lavenderridge.Slots(rapid.IntRange(0, 20).Draw(t, "load")), Limit: lavenderridge.Slots(rapid.IntRange(0, 10).Draw(t, "limit"))}
+	exclusions := map[lavenderridge.Reason]time.Duration{lavenderridge.ReasonLeaving: time.Second, lavenderridge.ReasonOverloaded: 50 * time.Millisecond, lavenderridge.ReasonConnectionLost: 250 * time.Millisecond}
+	r := rapid.SampledFrom([]lavenderridge.Reason{"", "", lavenderridge.ReasonCancelled, lavenderridge.ReasonLeaving, lavenderridge.ReasonOverloaded, lavenderridge.ReasonConnectionLost}).Draw(t, "reason")
+	var f *lavenderridge.Refusal
+	if r != "" {
+		f = lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, r, "")
+		m.spoken[n] = true
+	}
+	if d, o := exclusions[r]; o && m.router.Knows("s", n) {
+		m.refused[n] = m.now.Add(d)
+	}
+	m.router.End("s", n, l, f, m.now)
+}
+
+// TestRouting checks the router against the oracle through changes of the
+// catalogue and the list, refusals and failures.
+func TestRouting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRoutingModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"route": func(t *rapid.T) { m.route(t, nil) },
+			"again": func(t *rapid.T) {
+				m.route(t, rapid.SliceOfN(rapid.SampledFrom([]lavenderridge.InstanceID{"n-00", "n-01", "n-02", "n-03"}), 1, 3).Draw(t, "left out"))
+			},
+			"end": m.end,
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"centre": func(t *rapid.T) {
+				d := centreOf(rapid.IntRange(0, min(len(m.states), 3)-1).Draw(t, "centre"))
+				m.centres[d] = rapid.SampledFrom([]lavenderridge.ServiceState{lavenderridge.InService, lavenderridge.OutOfService}).Draw(t, "state")
+				m.publish()
+			},
+			"instance": func(t *rapid.T) {
+				n := lavenderridge.InstanceID(fmt.Sprintf("n-%02d", rapid.IntRange(0, len(m.states)-1).Draw(t, "instance")))
+				m.states[n] = rapid.SampledFrom([]lavenderridge.InstanceState{lavenderridge.InstanceLive, lavenderridge.InstanceLeaving}).Draw(t, "state")
+				m.overrides[n] = rapid.SampledFrom([]lavenderridge.ServiceState{lavenderridge.InService, lavenderridge.OutOfService}).Draw(t, "override")
+				m.publish()
+			},
+		})
+	})
+}
+
+// TestOwnDataCentreFirst checks that requests leave the own data centre only
+// when its targets bear no more, and come back afterwards.
+func TestOwnDataCentreFirst(t *testing.T) {
+	m := &routingModel{
+		now:     time.Unix(1000, 0),
+		centres: map[lavenderridge.DataCentreID]lavenderridge.ServiceState{"dc-0": lavenderridge.InService, "dc-1": lavenderridge.InService},
+		states:  map[lavenderridge.InstanceID]lavenderridge.InstanceState{"n-00": lavenderridge.InstanceLive, "n-01": lavenderridge.InstanceLive},
+	}
+	m.router = caller.NewBalancedRouter("self", "dc-0", m.now)
+	m.publish()
+	q := &lavenderridge.Request{Service: "s"}
+	route := func(want lavenderridge.InstanceID) {
+		t.Helper()
+		n, e := m.router.Route(m.snapshot, q, nil, m.now)
+		if e != nil || n.ID != want {
+			t.Fatalf("routed to %v, error %v; want %s", n, e, want)
+		}
+	}
+	route("n-00")
+	m.router.Begin("s", "n-00")
+	m.router.End("s", "n-00", lavenderridge.Load{InFlight: 10, Queued: 4, Limit: 10}, nil, m.now)
+	route("n-01")
+	m.now = m.now.Add(3 * time.Second)
+	route("n-00")
+}
--- /dev/null
+++ b/tracker.go
@@ -0,0 +1,14 @@
+package lavenderridge
+
+import "time"
+
+// A Tracker learns from the attempts of requests what each target bears. Its
+// methods do not block.
+type Tracker interface {
+	// Begin tells that an attempt of a request of the service d goes to the
+	// instance n.
+	Begin(d ServiceID, n InstanceID)
+	// End tells that the attempt is over. The load l is what the target said
+	// that it bears; f is nil when it gave a response.
+	End(d ServiceID, n InstanceID, l Load, f *Refusal, t time.Time)
+}
