--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -27,4 +27,7 @@
 	// KeyFiles are read again at intervals of KeyReload; zero means never.
 	KeyFiles  peertls.Files
 	KeyReload time.Duration
+	// PlainRouting takes targets in turn without retries, as the baseline of
+	// measurements.
+	PlainRouting bool
 }
