Let check report what the daemon would reject, and mend a race at start

check had its own, weaker list of faults; it now uses the same functions as the daemon, so a file that passes is a file that comes into force.

Cause of the race (found by the race detector in TestTry): the caller's address was read through the HTTP server, which sets it when it starts. The daemon now remembers the address of the listener it opened.

--- a/internal/cmd/lavenderridge/checkcmd.go
+++ b/internal/cmd/lavenderridge/checkcmd.go
@@ -15,8 +15,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
-	"github.com/lavenderridge/lavenderridge/internal/transport/cataloguetoml"
-	"github.com/lavenderridge/lavenderridge/internal/transport/instancesjson"
+	"github.com/lavenderridge/lavenderridge/internal/transport/confighttp"
 )
 
 // The kinds of files that can be checked.
@@ -91,17 +90,11 @@
 	}
 	switch k.kindOf(p, b) {
 	case kindInstances:
-		l, e := instancesjson.Parse(b)
-		if e != nil {
-			return inFile(p, e)
-		}
-		return inFile(p, checkInstances(l).Err())
+		_, f := configservice.CheckInstanceList(confighttp.Parser{}, b)
+		return inFile(p, f)
 	case kindCatalogue:
-		c, e := cataloguetoml.Parse(b)
-		if e != nil {
-			return inFile(p, e)
-		}
-		return inFile(p, configservice.ValidateCatalogue(c).Err())
+		_, f := configservice.CheckCatalogue(confighttp.Parser{}, b)
+		return inFile(p, f)
 	default:
 		s, f := settings.Load(p)
 		if s != nil && k.ports {
@@ -127,29 +120,10 @@
 	}
 }
 
-// checkInstances returns the faults of the list l that its form allows.
-func checkInstances(l *lavenderridge.InstanceList) lavenderridge.Findings {
+// inFile returns the findings of g with the file p in their places.
+func inFile(p string, g lavenderridge.Findings) lavenderridge.Findings {
 	var f lavenderridge.Findings
-	m := map[lavenderridge.InstanceID]bool{}
-	for i, n := range l.Instances {
-		if m[n.ID] {
-			f.Add(fmt.Sprintf("Instances[%d].ID", i), "duplicate instance %q", n.ID)
-		}
-		m[n.ID] = true
-	}
-	return f
-}
-
-// inFile returns the findings of e with the file p in their places.
-func inFile(p string, e error) lavenderridge.Findings {
-	var f, a lavenderridge.Findings
-	if e == nil {
-		return nil
-	}
-	if !errors.As(e, &a) {
-		return lavenderridge.Findings{{Place: p, Message: e.Error()}}
-	}
-	for _, v := range a {
+	for _, v := range g {
 		if n, o := strings.CutPrefix(v.Place, "line "); o {
 			f.Add(p+":"+n, "%s", v.Message)
 			continue
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -122,11 +122,7 @@
 
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
-	u, e := d.entry.server.Endpoint()
-	if e != nil {
-		return ""
-	}
-	return lavenderridge.Address(u.Host)
+	return d.entry.address
 }
 
 // PeerAddress returns where the daemon answers other daemons.
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -12,7 +12,8 @@
 
 // entryPart answers callers.
 type entryPart struct {
-	server *callerhttp.Server
+	server  *callerhttp.Server
+	address lavenderridge.Address
 }
 
 func newEntryPart(d *Daemon) (*entryPart, error) {
@@ -21,7 +22,10 @@
 		return nil, fmt.Errorf("assembly: caller address: %w", e)
 	}
 	d.closeLater(l.Close)
-	return &entryPart{server: callerhttp.NewServer(l, newEntryHandler(d), d.config.MaxBody)}, nil
+	return &entryPart{
+		server:  callerhttp.NewServer(l, newEntryHandler(d), d.config.MaxBody),
+		address: lavenderridge.Address(l.Addr().String()),
+	}, nil
 }
 
 // newEntryHandler returns the handlers that a caller's request passes through,
--- a/internal/load/caller/generator_test.go
+++ b/internal/load/caller/generator_test.go
@@ -45,7 +45,7 @@
 	s.Config.ErrorLog = nil
 	s.Start()
 	defer s.Close()
-	datadriven.RunTest(t, "testdata/load", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/load", func(_ *testing.T, d *datadriven.TestData) string {
 		p := caller.Plan{Rate: 500, Concurrency: 4, Duration: 200 * time.Millisecond, Timeout: time.Second, Seed: 1}
 		p.Targets = []lavenderridge.Address{lavenderridge.Address(strings.TrimPrefix(s.URL, "http://"))}
 		for _, a := range d.CmdArgs {
