--- a/internal/cmd/lavenderridge/checkcmd.go
+++ b/internal/cmd/lavenderridge/checkcmd.go
@@ -120,10 +120,10 @@
 	}
 }
 
-// inFile returns the findings a with the file p in their places.
-func inFile(p string, a lavenderridge.Findings) lavenderridge.Findings {
+// inFile returns the findings of g with the file p in their places.
+func inFile(p string, g lavenderridge.Findings) lavenderridge.Findings {
 	var f lavenderridge.Findings
-	for _, v := range a {
+	for _, v := range g {
 		if n, o := strings.CutPrefix(v.Place, "line "); o {
 			f.Add(p+":"+n, "%s", v.Message)
 			continue
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -32,7 +32,6 @@
 	owner         *ownerPart
 	home          *homePart
 	entry         *entryPart
-	callerAddress lavenderridge.Address
 	records       *operatorRecords
 	operator      *operatorPart
 	closers       []func() error
@@ -123,7 +122,7 @@
 
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
-	return d.callerAddress
+	return d.entry.address
 }
 
 // PeerAddress returns where the daemon answers other daemons.
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -86,6 +86,7 @@
 // operatorPart answers operators and renews the keys.
 type operatorPart struct {
 	server   *operatorhttp.Server
+	address  lavenderridge.Address
 	reloader *peertls.Reloader
 	interval time.Duration
 }
@@ -97,7 +98,7 @@
 	}
 	d.closeLater(l.Close)
 	r := d.records
-	p := &operatorPart{interval: d.config.KeyReload}
+	p := &operatorPart{address: lavenderridge.Address(l.Addr().String()), interval: d.config.KeyReload}
 	p.server = operatorhttp.NewServer(l, d.Status,
 		operatorhttp.WithMetrics(d.metrics),
 		operatorhttp.WithDecisions(func(q operatorhttp.DecisionQuery) []lavenderridge.Decision {
@@ -124,3 +125,8 @@
 	}
 	return g.Wait()
 }
+
+// OperatorAddress returns where the daemon answers operators.
+func (d *Daemon) OperatorAddress() lavenderridge.Address {
+	return d.operator.address
+}
