--- a/internal/daemon/operator/bucketsample_test.go
+++ b/internal/daemon/operator/histogram_test.go
@@ -10,12 +10,12 @@
 	"github.com/lavenderridge/lavenderridge/internal/daemon/operator"
 )
 
-// TestBucketSampleMatchesOracle compares the sample with the sorted values:
+// TestHistogramMatchesOracle compares the histogram with the sorted values:
 // each percentile is at most one part in 32 above the true one.
-func TestBucketSampleMatchesOracle(t *testing.T) {
+func TestHistogramMatchesOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := rapid.SliceOfN(rapid.OneOf(rapid.Int64Range(0, 5000), rapid.Int64Range(0, math.MaxInt64)), 1, 200).Draw(t, "values")
-		s := operator.NewBucketSample()
+		s := operator.NewHistogram()
 		for _, v := range a {
 			s.Update(v)
 		}
--- a/internal/daemon/operator/requestmetrics.go
+++ b/internal/daemon/operator/requestmetrics.go
@@ -30,7 +30,7 @@
 	m := &RequestMetrics{
 		good:    metrics.NewRegisteredCounter("Requests{Good=true}", r),
 		bad:     metrics.NewRegisteredCounter("Requests{Good=false}", r),
-		latency: metrics.NewRegisteredHistogram("RequestLatencyMicroseconds", r, NewBucketSample()),
+		latency: r.GetOrRegister("RequestLatencyMicroseconds", NewHistogram()).(metrics.Histogram),
 	}
 	m.refused = newCopyMap(maxReasons, func(k refusalKey) metrics.Counter {
 		return metrics.GetOrRegisterCounter("Refusals{Reason="+string(k.reason)+",Outcome="+k.outcome.String()+"}", r)
