--- /dev/null
+++ b/internal/cmd/lavenderridge/firststeps_test.go
@@ -0,0 +1,107 @@
+package lavenderridge_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	repository     = "../../.."
+	firstStepsTime = 90 * time.Second
+)
+
+var (
+	exampleAddress = regexp.MustCompile(`127\.0\.0\.1:7\d\d\d`)
+	servedBy       = regexp.MustCompile(`(?i)x-served-by: (\S+)`)
+)
+
+// TestFirstSteps runs the commands of docs/user/first-steps.md as they stand,
+// with the files of examples, on free ports, as separate processes.
+func TestFirstSteps(t *testing.T) {
+	d := t.TempDir()
+	ports := map[string]string{}
+	copyExamples(t, d, ports)
+	s := shellBlocks(readFile(t, filepath.Join(repository, "docs/user/first-steps.md")))
+	// Each of the processes that the page stops must end with success.
+	s = "set -e\n" + strings.Replace(s, "kill %1", "P=$(jobs -p)\nkill %1", 1) + "for p in $P; do wait $p; done\n"
+	c := exec.CommandContext(t.Context(), "bash", "-c", onPorts(t, s, ports))
+	c.Dir = d
+	c.Env = append(os.Environ(), "PATH="+filepath.Dir(buildBinary(t))+":"+os.Getenv("PATH"))
+	c.WaitDelay = firstStepsTime
+	b, e := c.CombinedOutput()
+	if e != nil {
+		t.Fatalf("%v\n%s", e, b)
+	}
+	m := servedBy.FindAllStringSubmatch(string(b), -1)
+	if len(m) != 2 || m[1][1] != "roster-2" {
+		t.Errorf("served by %v; want two answers, the second by roster-2\n%s", m, b)
+	}
+	for _, x := range []string{"no findings in 4 files", "VersionAccepted", "alert: None, from 2 daemons"} {
+		if !strings.Contains(string(b), x) {
+			t.Errorf("the output lacks %q\n%s", x, b)
+		}
+	}
+}
+
+func readFile(t *testing.T, p string) string {
+	t.Helper()
+	b, e := os.ReadFile(p)
+	if e != nil {
+		t.Fatal(e)
+	}
+	return string(b)
+}
+
+// shellBlocks returns the shell commands of the page s.
+func shellBlocks(s string) string {
+	var b strings.Builder
+	in := false
+	for l := range strings.Lines(s) {
+		switch {
+		case strings.HasPrefix(l, "```"):
+			in = strings.HasPrefix(l, "```sh")
+		case in:
+			b.WriteString(l)
+		}
+	}
+	return b.String()
+}
+
+// copyExamples copies the examples into the directory d, with other ports.
+func copyExamples(t *testing.T, d string, ports map[string]string) {
+	t.Helper()
+	a, e := filepath.Glob(filepath.Join(repository, "examples", "*.*"))
+	if e != nil {
+		t.Fatal(e)
+	}
+	if e := os.Mkdir(filepath.Join(d, "examples"), 0o700); e != nil {
+		t.Fatal(e)
+	}
+	for _, p := range a {
+		s := onPorts(t, readFile(t, p), ports)
+		if e := os.WriteFile(filepath.Join(d, "examples", filepath.Base(p)), []byte(s), 0o600); e != nil {
+			t.Fatal(e)
+		}
+	}
+}
+
+// onPorts puts a free address in the place of each example address in s. The
+// addresses of peers, 127.0.0.1:72xx, are UDP.
+func onPorts(t *testing.T, s string, ports map[string]string) string {
+	t.Helper()
+	return exampleAddress.ReplaceAllStringFunc(s, func(a string) string {
+		if ports[a] == "" {
+			n := "tcp"
+			if strings.HasPrefix(a, "127.0.0.1:72") {
+				n = "udp"
+			}
+			ports[a] = freeAddress(t, n)
+		}
+		return ports[a]
+	})
+}
