--- a/internal/daemon/backendserver/crashcheck.go
+++ b/internal/daemon/backendserver/crashcheck.go
@@ -15,9 +15,13 @@
 	probePeriod  = 500 * time.Millisecond
 )
 
-// crashed asks by a new connection whether the backend server crashed. The
-// requests that were lost together share one check.
-func (h *OwnerHandler) crashed(c context.Context, t time.Time) bool {
+// crashed reports whether the backend server crashed under a request that ran
+// from b and was lost at t. It asks by a new connection, and the requests that
+// were lost together share the answer.
+func (h *OwnerHandler) crashed(c context.Context, b, t time.Time) bool {
+	if h.crashedAt.Load() >= b.UnixNano() {
+		return true
+	}
 	h.lost.Add(1)
 	v, _, _ := h.checks.Do("", func() (any, error) {
 		return h.checkCrash(context.WithoutCancel(c), t), nil
@@ -36,6 +40,7 @@
 		}
 		return false
 	}
+	h.crashedAt.Store(t.UnixNano())
 	h.limiter.Crashed(t)
 	if p != nil {
 		h.limiter.Hint(*p, t)
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -40,6 +40,7 @@
 
 	outOfService atomic.Bool
 	unreachable  atomic.Bool
+	crashedAt    atomic.Int64 // wall time of the last crash, in nanoseconds
 	lost         atomic.Int64 // requests that lost their connection since the last check
 	lastRefused  atomic.Int64 // wall time of the last refusal while stopping, in nanoseconds
 	checks       singleflight.Group
@@ -181,7 +182,7 @@
 	p, e := h.backend.Handle(c, r)
 	t := h.clock.Now()
 	if e != nil {
-		return nil, h.failed(c, r, a, e, t.Sub(b), t)
+		return nil, h.failed(c, r, a, e, b, t)
 	}
 	h.answered(r, p, v, t.Sub(b), t)
 	p.Load = h.admission.Load(v)
@@ -209,8 +210,9 @@
 	}
 }
 
-// failed learns from a request that got no response, and returns its refusal.
-func (h *OwnerHandler) failed(c context.Context, r *lavenderridge.Request, a bool, e error, d time.Duration, t time.Time) error {
+// failed learns from a request that ran from b to t and got no response, and
+// returns its refusal.
+func (h *OwnerHandler) failed(c context.Context, r *lavenderridge.Request, a bool, e error, b, t time.Time) error {
 	f := lavenderridge.AsRefusal(e)
 	f.Place, f.Load = h.self().Instance, h.admission.Load(nil)
 	switch f.Reason {
@@ -220,11 +222,11 @@
 			h.record("RampRestarted", "backend server unreachable", t)
 		}
 	case lavenderridge.ReasonDeadline:
-		if f.Outcome == lavenderridge.OutcomeUnknown && h.limiter.TimedOut(d, t) {
+		if f.Outcome == lavenderridge.OutcomeUnknown && h.limiter.TimedOut(t.Sub(b), t) {
 			h.record("RampRestarted", "burst of timeouts", t)
 		}
 	case lavenderridge.ReasonConnectionLost, lavenderridge.ReasonBadResponse:
-		if f.Outcome == lavenderridge.OutcomeUnknown && h.crashed(c, t) {
+		if f.Outcome == lavenderridge.OutcomeUnknown && h.crashed(c, b, t) {
 			h.suspect(r, a, f, t)
 		}
 	}
