Test the client of the backend server over real sockets

Cause: whether a request was sent, whether a response is whole and whether a connection is alive show on sockets only.

Each mechanism was switched off and its test seen to fail: the library's own resend of safe methods (3 requests arrive for 2) and of requests with a key (3 for 2), redirects (11 for 2), every failure called Unknown, every failure called NotRun, no check of silent connections (requests after the silence end at their deadlines), no bound on dialling (27 connections for 8). A bound that frees the place of a closed connection at once let the backend server see 9 for 8 (3 of 3 runs with the race detector); a closed connection now keeps its place for 20 ms. What was ruled out: cutting requests in flight on connections that look silent. A slow answer looks the same, so they end at their deadlines; TCP keep-alive ends the truly dead ones after 4 s (not measured).

--- /dev/null
+++ b/internal/transport/backendhttp/client_test.go
@@ -0,0 +1,337 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
+)
+
+func newClient(t *testing.T, a lavenderridge.Address, n lavenderridge.Connections, o ...backendhttp.Option) *backendhttp.Client {
+	t.Helper()
+	l, e := backendhttp.NewClient(t.Context(), a, n, lavenderridge.Mebibyte, o...)
+	if e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func newStandin(t *testing.T, slots lavenderridge.Slots, d time.Duration, o ...backendserver.Option) *backendserver.Server {
+	t.Helper()
+	s := backendserver.NewServer("a", slots, d, o...)
+	if e := s.Start(); e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// raw answers each connection by f, and counts the requests it has read.
+type raw struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func newRaw(t *testing.T, f func(i int64, c net.Conn, q *http.Request) (open bool)) *raw {
+	t.Helper()
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	r := &raw{listener: l}
+	go func() {
+		for {
+			c, e := l.Accept()
+			if e != nil {
+				return
+			}
+			go r.serve(c, f)
+		}
+	}()
+	return r
+}
+
+func (r *raw) serve(c net.Conn, f func(int64, net.Conn, *http.Request) bool) {
+	defer func() { _ = c.Close() }()
+	b := bufio.NewReader(c)
+	for {
+		q, e := http.ReadRequest(b)
+		if e != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		if !f(r.requests.Add(1), c, q) {
+			return
+		}
+	}
+}
+
+func (r *raw) address() lavenderridge.Address {
+	return lavenderridge.Address(r.listener.Addr().String())
+}
+
+func request(m, b string) *lavenderridge.Request {
+	return &lavenderridge.Request{
+		ID: "1", Method: m, Path: "/x", Body: []byte(b),
+		Header: lavenderridge.Header{"Idempotency-Key": {"018f"}},
+	}
+}
+
+func checkRefusal(t *testing.T, e error, o lavenderridge.Outcome, r lavenderridge.Reason) {
+	t.Helper()
+	if f := lavenderridge.AsRefusal(e); e == nil || f.Outcome != o || f.Reason != r {
+		t.Errorf("error %v; want %s, %s", e, r, o)
+	}
+}
+
+func TestRefusesWithoutSending(t *testing.T) {
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	a := lavenderridge.Address(l.Addr().String())
+	_ = l.Close()
+	b := newClient(t, a, 10)
+	_, e = b.Handle(t.Context(), request("POST", "x"))
+	checkRefusal(t, e, lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable)
+	_, e = b.Probe(t.Context())
+	checkRefusal(t, e, lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable)
+}
+
+// TestRefusesWhileThePoolIsFull lets a request wait for a connection until its
+// deadline.
+func TestRefusesWhileThePoolIsFull(t *testing.T) {
+	s := newStandin(t, 10, 300*time.Millisecond)
+	b := newClient(t, s.Address(), 2)
+	var g sync.WaitGroup
+	g.Go(func() { _, _ = b.Handle(t.Context(), request("POST", "x")) })
+	time.Sleep(50 * time.Millisecond)
+	c, f := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer f()
+	_, e := b.Handle(c, request("POST", "x"))
+	checkRefusal(t, e, lavenderridge.OutcomeNotRun, lavenderridge.ReasonDeadline)
+	g.Wait()
+	if n := len(s.Record()); n != 1 {
+		t.Errorf("%d runs; want 1", n)
+	}
+}
+
+// TestSendsOnce lets a reused connection die after it has taken a request. The
+// HTTP library would send some of them again.
+func TestSendsOnce(t *testing.T) {
+	for _, m := range []string{"GET", "POST", "DELETE"} {
+		for _, body := range []string{"", "x"} {
+			r := newRaw(t, func(i int64, c net.Conn, _ *http.Request) bool {
+				if i == 1 {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+				return i == 1
+			})
+			b := newClient(t, r.address(), 10)
+			if _, e := b.Handle(t.Context(), request(m, body)); e != nil {
+				t.Fatal(e)
+			}
+			_, e := b.Handle(t.Context(), request(m, body))
+			checkRefusal(t, e, lavenderridge.OutcomeUnknown, lavenderridge.ReasonConnectionLost)
+			if n := r.requests.Load(); n != 2 {
+				t.Errorf("%s %q: %d requests arrived; want 2", m, body, n)
+			}
+		}
+	}
+}
+
+// TestRefusesCutResponses lets responses end before their end.
+func TestRefusesCutResponses(t *testing.T) {
+	for p, r := range map[string]lavenderridge.Reason{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc":                   lavenderridge.ReasonConnectionLost,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n": lavenderridge.ReasonConnectionLost,
+		"HTTP/1.1 200 OK\r\n\r\nabc":                                        lavenderridge.ReasonBadResponse,
+		"HTTP/1.1 200":                                                      lavenderridge.ReasonConnectionLost,
+	} {
+		s := newRaw(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, p)
+			return false
+		})
+		_, e := newClient(t, s.address(), 10).Handle(t.Context(), request("GET", ""))
+		checkRefusal(t, e, lavenderridge.OutcomeUnknown, r)
+	}
+}
+
+func TestPassesRedirectsOn(t *testing.T) {
+	s := newRaw(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	for _, m := range []string{"GET", "POST"} {
+		p, e := newClient(t, s.address(), 10).Handle(t.Context(), request(m, ""))
+		if e != nil || p.Status != http.StatusTemporaryRedirect || p.Header.Get("Location") != "/y" {
+			t.Errorf("%s: %+v, %v", m, p, e)
+		}
+	}
+	if n := s.requests.Load(); n != 2 {
+		t.Errorf("%d requests arrived; want 2", n)
+	}
+}
+
+// TestCancelsDownToTheBackendServer ends the context of a running request.
+func TestCancelsDownToTheBackendServer(t *testing.T) {
+	s := newStandin(t, 10, 10*time.Second)
+	c, f := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, f)
+	_, e := newClient(t, s.Address(), 10).Handle(c, request("POST", "x"))
+	checkRefusal(t, e, lavenderridge.OutcomeUnknown, lavenderridge.ReasonCancelled)
+	for d := time.Now().Add(2 * time.Second); time.Now().Before(d); time.Sleep(5 * time.Millisecond) {
+		if s.Record()[0].State == backendserver.RunCut {
+			return
+		}
+	}
+	t.Errorf("run %+v", s.Record()[0])
+}
+
+// TestKeepsItsConnections sends more requests at once than connections.
+func TestKeepsItsConnections(t *testing.T) {
+	s := newStandin(t, 100, 5*time.Millisecond)
+	b := newClient(t, s.Address(), 8, backendhttp.WithSilence(3*time.Millisecond))
+	var g sync.WaitGroup
+	for range 40 {
+		g.Go(func() {
+			for range 10 {
+				_, _ = b.Handle(t.Context(), request("POST", "x"))
+			}
+		})
+	}
+	g.Wait()
+	if n := s.PeakConnections(); n > 8 {
+		t.Errorf("%d connections; want 8 at most", n)
+	}
+}
+
+// forwarder passes bytes on. After it is silenced, connections that are open
+// pass nothing any more, and new ones work.
+type forwarder struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	silent   chan struct{}
+}
+
+func newForwarder(t *testing.T, target lavenderridge.Address) *forwarder {
+	t.Helper()
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	f := &forwarder{listener: l, target: string(target), silent: make(chan struct{})}
+	go func() {
+		for {
+			c, e := l.Accept()
+			if e != nil {
+				return
+			}
+			f.forward(t, c)
+		}
+	}()
+	return f
+}
+
+func (f *forwarder) forward(t *testing.T, c net.Conn) {
+	d, e := net.Dial("tcp", f.target)
+	if e != nil {
+		_ = c.Close()
+		return
+	}
+	t.Cleanup(func() { _, _ = c.Close(), d.Close() })
+	f.mutex.Lock()
+	s := f.silent
+	f.mutex.Unlock()
+	for _, p := range [][2]net.Conn{{c, d}, {d, c}} {
+		go func() {
+			b := make([]byte, 4096)
+			for {
+				n, e := p[0].Read(b)
+				select {
+				case <-s:
+					return
+				default:
+				}
+				if e != nil {
+					_ = p[1].Close()
+					return
+				}
+				_, _ = p[1].Write(b[:n])
+			}
+		}()
+	}
+}
+
+func (f *forwarder) silence() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	close(f.silent)
+	f.silent = make(chan struct{})
+}
+
+// TestReplacesSilentConnections silences all pooled connections.
+func TestReplacesSilentConnections(t *testing.T) {
+	s := newStandin(t, 10, 20*time.Millisecond)
+	f := newForwarder(t, s.Address())
+	b := newClient(t, lavenderridge.Address(f.listener.Addr().String()), 20, backendhttp.WithSilence(100*time.Millisecond))
+	send := func(d time.Duration) error {
+		c, x := context.WithTimeout(t.Context(), d)
+		defer x()
+		_, e := b.Handle(c, request("POST", "x"))
+		return e
+	}
+	var g sync.WaitGroup
+	for range 5 {
+		g.Go(func() { _ = send(time.Second) })
+	}
+	g.Wait()
+	f.silence()
+	begun := time.Now()
+	g.Go(func() { checkRefusal(t, send(time.Second), lavenderridge.OutcomeUnknown, lavenderridge.ReasonDeadline) })
+	time.Sleep(200 * time.Millisecond)
+	for i := range 5 {
+		if e := send(time.Second); e != nil {
+			t.Errorf("request %d after the silence: %v", i, e)
+		}
+	}
+	t.Logf("new connections work %s after the silence", time.Since(begun).Round(time.Millisecond))
+	g.Wait()
+}
+
+// TestReleasesEverything checks that a closed client leaves no goroutine.
+func TestReleasesEverything(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	s := backendserver.NewServer("a", 10, time.Millisecond)
+	if e := s.Start(); e != nil {
+		t.Fatal(e)
+	}
+	b, e := backendhttp.NewClient(t.Context(), s.Address(), 10, lavenderridge.Mebibyte)
+	if e != nil {
+		t.Fatal(e)
+	}
+	for i := range 20 {
+		if p, e := b.Handle(t.Context(), request("POST", fmt.Sprint(i))); e != nil || !strings.HasPrefix(string(p.Body), "a POST") {
+			t.Fatalf("%+v, %v", p, e)
+		}
+	}
+	_ = b.Close()
+	s.Close()
+}
--- a/internal/transport/backendhttp/dialer.go
+++ b/internal/transport/backendhttp/dialer.go
@@ -17,6 +17,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// closeDelay is how long a closed connection keeps its place, since the
+	// backend server may notice the end a little later.
+	closeDelay = 20 * time.Millisecond
 )
 
 var errTooManyConnections = errors.New("backendhttp: too many connections")
@@ -47,5 +50,9 @@
 		d.open.Add(-1)
 		return nil, e
 	}
-	return &countedConn{Conn: v, closed: func() { d.open.Add(-1) }}, nil
+	return &countedConn{Conn: v, closed: d.release}, nil
+}
+
+func (d *dialer) release() {
+	time.AfterFunc(closeDelay, func() { d.open.Add(-1) })
 }
