--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -32,6 +32,7 @@
 	owner         *ownerPart
 	home          *homePart
 	entry         *entryPart
+	records       *operatorRecords
 	operator      *operatorPart
 	closers       []func() error
 }
@@ -54,6 +55,7 @@
 }
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
+	d.records = newOperatorRecords(d, k)
 	if d.transport, e = peerquic.NewTransport(d.config.Peer, k); e != nil {
 		return e
 	}
@@ -112,17 +114,15 @@
 	}
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
+		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
+	d.records.fill(&s)
 	return s
 }
 
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
-	u, e := d.entry.server.Endpoint()
-	if e != nil {
-		return ""
-	}
-	return lavenderridge.Address(u.Host)
+	return d.entry.address
 }
 
 // PeerAddress returns where the daemon answers other daemons.
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -26,6 +26,8 @@
 	TimeoutHeader = "X-Request-Timeout-Ms"
 	// DepthHeader carries the number of services passed through.
 	DepthHeader = "X-Request-Depth"
+	// NoRetryHeader tells that a layer above owns the retries.
+	NoRetryHeader = "X-Request-No-Retry"
 )
 
 const (
@@ -149,6 +151,9 @@
 	rename(q.Header, keyField, hiddenKeyField)
 	q.Header.Set(RequestIDHeader, string(r.ID))
 	q.Header.Set(DepthHeader, strconv.Itoa(int(r.Depth)))
+	if r.NoRetry {
+		q.Header.Set(NoRetryHeader, "true")
+	}
 	if d, o := c.Deadline(); o {
 		q.Header.Set(TimeoutHeader, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
 	}
--- a/reason.go
+++ b/reason.go
@@ -31,5 +31,6 @@
 	ReasonLedgerFull     Reason = "LedgerFull"
 	ReasonTooLarge       Reason = "TooLarge"
 	ReasonTooDeep        Reason = "TooDeep"
+	ReasonBadRequest     Reason = "BadRequest"
 	ReasonInternal       Reason = "Internal"
 )
