Replace silent connections between daemons, share dials, shrink messages

Cause: a connection between daemons that went silent held its calls until the idle timeout of 30 s; one caller's dial held a lock for all others and ended with that caller's deadline; each message carried both digests and all field names; a stopping server closed connections right after the last reply.

Calls without a reply for 250 ms lead to one ping on the connection (250 ms), then to a new connection from a socket of its own, because what lost a connection may have lost the path between two sockets. If the ping stays unanswered the old connection is closed and its calls fail at once as Unknown ConnectionLost. A timer for each call was ruled out for its cost on the request's path. A dial belongs to the link, is shared by all waiting calls and bounded by 1 s, 0.3 s after a failed one, 64 at once; each call waits no longer than its own deadline and is then NotRun. Requests and responses are CBOR arrays with versions for stamps; the sender's name comes from its certificate. A server that stops answers what still comes and lingers 200 ms. Refusals of a link name no place, since the peer did not speak. Counters: connections opened, replaced, dial failures, probes, TLS refusals.

Proof: golden sessions over real sockets and the new link stand-in: silent, slow, unreachable, cancelled, stop, restart, impostor. Under -race the restart session failed once in three runs: a connection that ended between its choice and the opening of the stream gave Unreachable; it now connects once more.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -54,7 +54,7 @@
 }
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
-	if d.transport, e = peerquic.NewTransport(d.config.Peer, k); e != nil {
+	if d.transport, e = peerquic.NewTransport(d.config.Peer, k, peerquic.WithMetrics(d.metrics)); e != nil {
 		return e
 	}
 	d.closeLater(d.transport.Close)
--- a/internal/daemon/caller/retry_test.go
+++ b/internal/daemon/caller/retry_test.go
@@ -61,7 +61,7 @@
 		h := caller.NewRetryHandler(callerpolicy.NewRetryPolicy(callerpolicy.WithBackoff(0, 0)), m, m)
 		begin, requests, retries := m.now, 0, 0
 		t.Repeat(map[string]func(*rapid.T){
-			"burst": func(t *rapid.T) {
+			"burst": func(*rapid.T) {
 				r := &lavenderridge.Request{ID: "r", Service: "s", Deadline: m.now.Add(time.Second), Idempotent: true}
 				for range 30 {
 					m.attempts = 0
--- /dev/null
+++ b/internal/standin/link/tcp.go
@@ -0,0 +1,97 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const tcpBuffer = 32 << 10
+
+// A TCP passes the bytes of connections to a target and back. A flow is one
+// connection; a silent one stays open at both ends.
+type TCP struct {
+	gate
+	listener net.Listener
+	target   lavenderridge.Address
+	context  context.Context
+	work     sync.WaitGroup
+}
+
+// NewTCP returns a link on loopback to the target a. It runs until c ends.
+func NewTCP(c context.Context, a lavenderridge.Address) (*TCP, error) {
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		return nil, fmt.Errorf("link: %w", e)
+	}
+	t := &TCP{listener: l, target: a, context: c}
+	context.AfterFunc(c, func() { _ = l.Close() })
+	t.work.Go(t.accept)
+	return t, nil
+}
+
+// Address returns where the link takes connections.
+func (t *TCP) Address() lavenderridge.Address {
+	return lavenderridge.Address(t.listener.Addr().String())
+}
+
+// Wait returns when the link has ended.
+func (t *TCP) Wait() {
+	t.work.Wait()
+}
+
+func (t *TCP) accept() {
+	for {
+		n, e := t.listener.Accept()
+		if e != nil {
+			return
+		}
+		t.work.Go(func() { t.serve(n) })
+	}
+}
+
+func (t *TCP) serve(n net.Conn) {
+	defer func() { _ = n.Close() }()
+	g := t.generation.Load()
+	var d net.Dialer
+	m, e := d.DialContext(t.context, "tcp", string(t.target))
+	if e != nil || t.cut.Load() {
+		return
+	}
+	defer func() { _ = m.Close() }()
+	// The end of one direction ends both, unless the flow is silent.
+	c, f := context.WithCancel(t.context)
+	defer f()
+	var w sync.WaitGroup
+	for _, p := range [][2]net.Conn{{n, m}, {m, n}} {
+		w.Go(func() {
+			t.copy(p[0], p[1], g)
+			if t.passes(g) {
+				f()
+			}
+		})
+	}
+	<-c.Done()
+	_, _ = n.Close(), m.Close()
+	w.Wait()
+}
+
+// copy passes bytes from a to b and drops them while the flow is silent.
+func (t *TCP) copy(a, b net.Conn, g int64) {
+	p := make([]byte, tcpBuffer)
+	for {
+		n, e := a.Read(p)
+		if e != nil {
+			return
+		}
+		if !t.passes(g) {
+			continue
+		}
+		if _, e := b.Write(p[:n]); e != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/peerquic/counters.go
@@ -0,0 +1,22 @@
+package peerquic
+
+import "github.com/rcrowley/go-metrics"
+
+// counters counts what befalls connections. Nothing is counted for each call.
+type counters struct {
+	opened       metrics.Counter
+	dialFailures metrics.Counter
+	tlsRefused   metrics.Counter
+	probes       metrics.Counter
+	replaced     metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	return counters{
+		opened:       metrics.GetOrRegisterCounter("PeerConnectionsOpened", r),
+		dialFailures: metrics.GetOrRegisterCounter("PeerDialFailures", r),
+		tlsRefused:   metrics.GetOrRegisterCounter("PeerTLSRefused", r),
+		probes:       metrics.GetOrRegisterCounter("PeerProbes", r),
+		replaced:     metrics.GetOrRegisterCounter("PeerConnectionsReplaced", r),
+	}
+}
--- a/internal/transport/peerquic/kind.go
+++ b/internal/transport/peerquic/kind.go
@@ -9,6 +9,8 @@
 	kindPull
 	kindActivate
 	kindHandOver
+	// kindPing asks for an empty reply.
+	kindPing
 )
 
 // status tells what a reply carries.
@@ -24,4 +26,5 @@
 
 	codeCancelled = 1
 	codeClosed    = 2
+	codeSilent    = 3
 )
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -3,23 +3,30 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// link is the client's side of the connection to one daemon.
+// link is the client's side of the connection to one daemon. All times are
+// since the transport's start.
 type link struct {
 	transport *Transport
 	instance  lavenderridge.InstanceID
 	address   lavenderridge.Address
 
 	connection atomic.Pointer[quic.Conn]
-	dialMutex  sync.Mutex
+	dialling   atomic.Pointer[dial]
+	// failures counts the dials that failed without a success between them.
+	failures atomic.Int32
+	calls    atomic.Int64
+	// heard is when the last reply came, or when the first of the running
+	// calls began.
+	heard   atomic.Int64
+	probing atomic.Bool
 }
 
 var _ lavenderridge.Peer = (*link)(nil)
@@ -30,14 +37,11 @@
 
 // Handle implements lavenderridge.Handler.
 func (l *link) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
-	var p lavenderridge.Response
-	if e := l.call(c, kindHandle, newWireRequest(r), &p); e != nil {
+	var w wireResponse
+	if e := l.call(c, kindHandle, newWireRequest(r, time.Now()), &w); e != nil {
 		return nil, e
 	}
-	if p.ID != r.ID || p.Attempt != r.Attempt {
-		return nil, l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the reply is for another request")
-	}
-	return &p, nil
+	return w.response(l.instance), nil
 }
 
 // Exchange implements lavenderridge.Peer.
@@ -71,108 +75,139 @@
 func (l *link) call(c context.Context, k kind, q, v any) error {
 	b, e := encode(byte(k), q)
 	if e != nil {
-		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e.Error())
+		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e)
 	}
+	l.begin()
+	defer l.end()
 	s, e := l.open(c)
 	if e != nil {
-		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable, e.Error())
+		return l.refusal(lavenderridge.OutcomeNotRun, ended(c, lavenderridge.ReasonUnreachable), e)
 	}
 	f := context.AfterFunc(c, func() { cancel(s) })
 	defer f()
 	if e := send(s, b); e != nil {
-		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable, e.Error())
+		return l.refusal(lavenderridge.OutcomeNotRun, ended(c, lavenderridge.ReasonUnreachable), e)
 	}
 	p, e := receive(s, l.transport.maxMessage)
 	if e != nil {
 		return l.lost(c, e)
 	}
+	l.hear()
 	return l.reply(p, v)
 }
 
+func (l *link) begin() {
+	if l.calls.Add(1) == 1 {
+		l.hear()
+	}
+}
+
+func (l *link) end() {
+	l.calls.Add(-1)
+}
+
+func (l *link) hear() {
+	l.heard.Store(int64(l.transport.now()))
+}
+
 // open returns a stream on the current connection, or on a new one when there
-// is none that works.
+// is none that works or when it has just ended.
 func (l *link) open(c context.Context) (*quic.Stream, error) {
 	n, e := l.connect(c)
 	if e != nil {
 		return nil, e
 	}
-	return n.OpenStreamSync(c)
-}
-
-func (l *link) connect(c context.Context) (*quic.Conn, error) {
-	if n := l.connection.Load(); n != nil && n.Context().Err() == nil {
-		return n, nil
+	s, e := n.OpenStreamSync(c)
+	if e == nil || n.Context().Err() == nil {
+		return s, e
 	}
-	l.dialMutex.Lock()
-	defer l.dialMutex.Unlock()
-	if n := l.connection.Load(); n != nil && n.Context().Err() == nil {
-		return n, nil
-	}
-	n, e := l.transport.dial(c, l.instance, l.address)
-	if e != nil {
+	if n, e = l.connect(c); e != nil {
 		return nil, e
 	}
-	l.connection.Store(n)
-	return n, nil
+	return n.OpenStreamSync(c)
 }
 
-// send writes the whole message and ends the stream's sending side. After an
-// error the server can't have read the message to its end.
-func send(s *quic.Stream, b []byte) error {
-	if _, e := s.Write(b); e != nil {
-		cancel(s)
-		return e
+// connect returns the current connection, or waits for a new one that all
+// waiting calls share. Each waits no longer than its own context.
+func (l *link) connect(c context.Context) (*quic.Conn, error) {
+	for {
+		if n := l.connection.Load(); n != nil && n.Context().Err() == nil {
+			return n, nil
+		}
+		d := l.dialling.Load()
+		if d == nil {
+			d = newDial()
+			if !l.dialling.CompareAndSwap(nil, d) {
+				continue
+			}
+			l.transport.work.Go(func() { l.dial(d) })
+		}
+		return d.wait(c)
 	}
-	return s.Close()
 }
 
-func receive(s *quic.Stream, n lavenderridge.ByteCount) ([]byte, error) {
-	b, e := io.ReadAll(io.LimitReader(s, int64(n)+1))
+// dial opens a connection under the transport's context and publishes it.
+func (l *link) dial(d *dial) {
+	n, e := l.transport.dial(l.instance, l.address, l.patience(), l.failures.Load() > 0)
 	if e != nil {
-		return nil, e
+		l.failures.Add(1)
+	} else {
+		l.failures.Store(0)
+		l.connection.Store(n)
 	}
-	if lavenderridge.ByteCount(len(b)) > n {
-		cancel(s)
-		return nil, errors.New("message too large")
-	}
-	if len(b) == 0 {
-		return nil, errors.New("empty message")
-	}
-	return b, nil
+	l.dialling.Store(nil)
+	d.finish(n, e)
 }
 
-func cancel(s *quic.Stream) {
-	s.CancelRead(codeCancelled)
-	s.CancelWrite(codeCancelled)
+// patience returns the bound of the next dial, shorter after a failure.
+func (l *link) patience() time.Duration {
+	if l.failures.Load() > 0 {
+		return redialTimeout
+	}
+	return dialTimeout
 }
 
 func (l *link) reply(b []byte, v any) error {
-	if status(b[0]) == statusRefusal {
-		var w wireRefusal
-		if e := decode(b[1:], &w); e != nil {
-			return l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e.Error())
+	if status(b[0]) != statusRefusal {
+		if e := decode(b[1:], v); e != nil {
+			return l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e)
 		}
-		return &w.Refusal
+		return nil
+	}
+	var w wireRefusal
+	if e := decode(b[1:], &w); e != nil {
+		return l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e)
 	}
-	if e := decode(b[1:], v); e != nil {
-		return l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e.Error())
+	if w.Refusal.Place == "" {
+		w.Refusal.Place = l.instance
 	}
-	return nil
+	return &w.Refusal
 }
 
+// lost returns the refusal of a call whose reply did not come whole. A server
+// that refuses the client's certificate has read no stream.
 func (l *link) lost(c context.Context, e error) error {
-	r := lavenderridge.ReasonConnectionLost
+	var t *quic.TransportError
+	if errors.As(e, &t) && t.Remote && t.ErrorCode.IsCryptoError() {
+		l.transport.counters.tlsRefused.Inc(1)
+		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable, e)
+	}
+	return l.refusal(lavenderridge.OutcomeUnknown, ended(c, lavenderridge.ReasonConnectionLost), e)
+}
+
+// refusal returns a refusal by this daemon; its place is left open, because
+// the peer did not say it.
+func (l *link) refusal(o lavenderridge.Outcome, r lavenderridge.Reason, e error) error {
+	return lavenderridge.NewRefusal(o, r, string(l.instance)+": "+e.Error())
+}
+
+// ended returns the reason for which c ended, or r while it goes on.
+func ended(c context.Context, r lavenderridge.Reason) lavenderridge.Reason {
 	switch {
 	case errors.Is(c.Err(), context.DeadlineExceeded):
-		r = lavenderridge.ReasonDeadline
+		return lavenderridge.ReasonDeadline
 	case c.Err() != nil:
-		r = lavenderridge.ReasonCancelled
+		return lavenderridge.ReasonCancelled
 	}
-	return l.refusal(lavenderridge.OutcomeUnknown, r, e.Error())
-}
-
-func (l *link) refusal(o lavenderridge.Outcome, r lavenderridge.Reason, d string) error {
-	f := lavenderridge.NewRefusal(o, r, d)
-	f.Place = l.instance
-	return f
+	return r
 }
--- a/internal/transport/peerquic/server.go
+++ b/internal/transport/peerquic/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"sync"
@@ -17,7 +18,8 @@
 type Server struct {
 	transport *Transport
 	peer      lavenderridge.Peer
-	calls     sync.WaitGroup
+	// connections counts those that are being served.
+	connections sync.WaitGroup
 }
 
 // NewServer returns a server that passes the calls on t to the peer p.
@@ -25,23 +27,38 @@
 	return &Server{transport: t, peer: p}
 }
 
-// Serve accepts connections until c ends and then waits for running calls.
+// Serve accepts connections until c ends. It answers running calls, and those
+// that still come, until none has come for a short time.
 func (s *Server) Serve(c context.Context) error {
-	l, e := s.transport.quic.Listen(s.transport.keys.Server(protocol), quicConfig())
+	l, e := s.transport.quic.Listen(s.tlsConfig(), quicConfig())
 	if e != nil {
 		return fmt.Errorf("peerquic: listen: %w", e)
 	}
-	defer s.calls.Wait()
+	defer s.connections.Wait()
 	defer func() { _ = l.Close() }()
 	for {
 		n, e := l.Accept(c)
 		if e != nil {
 			return acceptError(c, e)
 		}
-		s.calls.Go(func() { s.serveConnection(c, n) })
+		s.connections.Go(func() { s.serveConnection(c, n) })
 	}
 }
 
+// tlsConfig counts the connections that are refused for their certificate.
+func (s *Server) tlsConfig() *tls.Config {
+	t := s.transport.keys.Server(protocol)
+	f := t.VerifyConnection
+	t.VerifyConnection = func(v tls.ConnectionState) error {
+		e := f(v)
+		if e != nil {
+			s.transport.counters.tlsRefused.Inc(1)
+		}
+		return e
+	}
+	return t
+}
+
 func acceptError(c context.Context, e error) error {
 	if c.Err() != nil || errors.Is(e, quic.ErrServerClosed) {
 		return nil
@@ -55,14 +72,26 @@
 	if e != nil {
 		return
 	}
+	a, f := context.WithCancel(n.Context())
+	defer f()
 	var w sync.WaitGroup
 	defer w.Wait()
+	var k activity
+	g := context.AfterFunc(c, func() {
+		k.quiet(a)
+		f()
+	})
+	defer g()
 	for {
-		t, e := n.AcceptStream(c)
+		t, e := n.AcceptStream(a)
 		if e != nil {
 			return
 		}
-		w.Go(func() { s.serveStream(t, i) })
+		k.begin()
+		w.Go(func() {
+			defer k.end()
+			s.serveStream(t, i)
+		})
 	}
 }
 
@@ -72,12 +101,7 @@
 		cancel(t)
 		return
 	}
-	v, e := s.dispatch(t.Context(), kind(b[0]), b[1:], i)
-	k := byte(statusReply)
-	if e != nil {
-		k, v = byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)}
-	}
-	p, e := encode(k, v)
+	p, e := s.answer(t.Context(), b, i)
 	if e != nil {
 		cancel(t)
 		return
@@ -85,6 +109,18 @@
 	_ = send(t, p)
 }
 
+// answer returns the reply to the message b of the daemon i.
+func (s *Server) answer(c context.Context, b []byte, i peertls.Identity) ([]byte, error) {
+	if kind(b[0]) == kindPing {
+		return []byte{byte(statusReply)}, nil
+	}
+	v, e := s.dispatch(c, kind(b[0]), b[1:], i)
+	if e != nil {
+		return encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
+	}
+	return encode(byte(statusReply), v)
+}
+
 func (s *Server) dispatch(c context.Context, k kind, b []byte, i peertls.Identity) (any, error) {
 	switch k {
 	case kindHandle:
@@ -107,16 +143,17 @@
 	if e := decode(b, &w); e != nil {
 		return nil, notRun(e.Error())
 	}
-	r := w.request(time.Now())
-	if e := checkSender(&r.Sender, i); e != nil {
-		return nil, e
+	r := w.request(lavenderridge.Sender{Instance: i.Instance, DataCentre: i.DataCentre}, time.Now())
+	if !r.Deadline.IsZero() {
+		d, f := context.WithDeadline(c, r.Deadline)
+		defer f()
+		c = d
 	}
-	if r.Deadline.IsZero() {
-		return s.peer.Handle(c, r)
+	p, e := s.peer.Handle(c, r)
+	if e != nil {
+		return nil, e
 	}
-	c, f := context.WithDeadline(c, r.Deadline)
-	defer f()
-	return s.peer.Handle(c, r)
+	return newWireResponse(p), nil
 }
 
 func answer[Q, V any](c context.Context, b []byte, i peertls.Identity, f func(context.Context, *Q) (*V, error), s func(*Q) *lavenderridge.Sender) (any, error) {
