Test the entry side of whole daemons over real sockets

A caller's disconnect ends the request at the backend server of another data centre; idempotent requests are answered within their deadline when all connections between daemons go silent; a data centre leaves and returns under load without a failed request or new work there.

Seen failing first: cancellation not passed on: TestDisconnectCancels ends after 2 s; no probe: request 5 of TestSilentLinks gets 504; no retries: it gets 502.

--- /dev/null
+++ b/internal/daemon/assembly/entry_test.go
@@ -0,0 +1,189 @@
+package assembly_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	load "github.com/lavenderridge/lavenderridge/internal/load/caller"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/standin/link"
+	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
+	"github.com/lavenderridge/lavenderridge/internal/transport/callerhttp"
+)
+
+func startMesh(t *testing.T, o ...mesh.Option) *mesh.Mesh {
+	t.Helper()
+	c, f := context.WithCancel(context.Background())
+	m, e := mesh.NewMesh(c, o...)
+	if e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() {
+		if e := m.Close(); e != nil {
+			t.Error(e)
+		}
+		f()
+	})
+	waitFor(t, m, func(d *assembly.Daemon) bool { return d.Status().Ready && d.Status().Versions.InstanceList > 0 })
+	return m
+}
+
+func waitFor(t *testing.T, m *mesh.Mesh, g func(*assembly.Daemon) bool) {
+	t.Helper()
+	c, f := context.WithTimeout(context.Background(), 10*time.Second)
+	defer f()
+	if e := m.Wait(c, g); e != nil {
+		t.Fatal(e)
+	}
+}
+
+func get(c context.Context, a lavenderridge.Address, p string) (status int, by string, e error) {
+	q, e := http.NewRequestWithContext(c, http.MethodGet, fmt.Sprintf("http://%s%s", a, p), http.NoBody)
+	if e != nil {
+		return 0, "", e
+	}
+	r, e := http.DefaultClient.Do(q)
+	if e != nil {
+		return 0, "", e
+	}
+	defer func() { _ = r.Body.Close() }()
+	_, e = io.Copy(io.Discard, r.Body)
+	return r.StatusCode, r.Header.Get(callerhttp.TargetHeader) + r.Header.Get(callerhttp.ReasonHeader), e
+}
+
+// TestDisconnectCancels checks that a caller's disconnect ends the request at
+// the backend server of another data centre.
+func TestDisconnectCancels(t *testing.T) {
+	var begun, ended atomic.Int64
+	b := func(lavenderridge.Instance) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if q.URL.Path == "/healthz" {
+				_, _ = io.WriteString(w, `{"Ready":true}`)
+				return
+			}
+			begun.Add(1)
+			<-q.Context().Done()
+			ended.Add(1)
+		})
+	}
+	m := startMesh(t, mesh.WithReplicas(1), mesh.WithBackend(b), mesh.WithCatalogue(func(k *lavenderridge.Catalogue) {
+		k.DataCentres[0].State = lavenderridge.OutOfService
+		for i := range k.Entries {
+			k.Entries[i].Timeout = time.Minute
+		}
+	}))
+	c, f := context.WithCancel(context.Background())
+	defer f()
+	go func() { _, _, _ = get(c, m.Members[0].Caller(), "/roster/read") }()
+	until(t, 5*time.Second, func() bool { return begun.Load() == 1 })
+	f()
+	until(t, 2*time.Second, func() bool { return ended.Load() == 1 })
+}
+
+func until(t *testing.T, d time.Duration, f func() bool) {
+	t.Helper()
+	for e := time.Now().Add(d); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(e) {
+			t.Fatalf("not within %s", d)
+		}
+	}
+}
+
+// TestSilentLinks checks that idempotent requests are answered within their
+// deadline of 2 s when all connections between daemons go silent.
+func TestSilentLinks(t *testing.T) {
+	m := startMesh(t, mesh.WithReplicas(1), mesh.WithDataCentres("fukuoka", "kumamoto", "saga"), mesh.WithCatalogue(func(k *lavenderridge.Catalogue) {
+		// Every request must cross a link.
+		k.DataCentres[0].State = lavenderridge.OutOfService
+	}))
+	c, f := context.WithCancel(context.Background())
+	defer f()
+	var a []*link.UDP
+	for _, n := range m.Members {
+		l, e := link.NewUDP(c, n.Instance.Peer)
+		if e != nil {
+			t.Fatal(e)
+		}
+		a = append(a, l)
+		n.Instance.Peer = l.Address()
+	}
+	if e := m.PublishInstances(); e != nil {
+		t.Fatal(e)
+	}
+	waitFor(t, m, func(d *assembly.Daemon) bool { return d.Status().Versions.InstanceList == 2 })
+	for i := range 20 {
+		if i == 5 || i == 12 {
+			for _, l := range a {
+				l.Silence()
+			}
+		}
+		s, v, e := get(c, m.Members[0].Caller(), "/roster/read")
+		if e != nil || s != http.StatusOK {
+			t.Fatalf("request %d: status %d %s, error %v", i, s, v, e)
+		}
+	}
+}
+
+// TestDataCentreMoves takes a data centre out of service and back under load.
+// No request may fail, and none may run there once the change is in force.
+func TestDataCentreMoves(t *testing.T) {
+	m := startMesh(t, mesh.WithReplicas(2))
+	p := load.Plan{
+		Mix: []load.Share{{Path: "/roster/read", Weight: 3}, {Path: "/roster/write", Weight: 1, Keyed: true}},
+		// The stand-ins bear far more than this.
+		Rate: 300, Concurrency: 64, Duration: 6 * time.Second, Timeout: 2 * time.Second, Seed: 1,
+	}
+	for _, n := range m.Members {
+		p.Targets = append(p.Targets, n.Caller())
+	}
+	c := context.Background()
+	g, e := load.NewGenerator(c, p)
+	if e != nil {
+		t.Fatal(e)
+	}
+	r := make(chan *load.Report, 1)
+	go func() { r <- g.Run(c) }()
+	time.Sleep(time.Second)
+	move(t, m, lavenderridge.OutOfService)
+	b := runs(m, "fukuoka")
+	time.Sleep(2 * time.Second)
+	if n := runs(m, "fukuoka") - b; n > 0 {
+		t.Errorf("%d requests began in the data centre out of service", n)
+	}
+	move(t, m, lavenderridge.InService)
+	b = runs(m, "fukuoka")
+	v := <-r
+	if v.Counts.Answered != v.Counts.Sent {
+		t.Errorf("%+v", v.Counts)
+	}
+	if runs(m, "fukuoka") == b {
+		t.Error("nothing runs in the data centre that came back")
+	}
+}
+
+// move puts the state s of the data centre fukuoka in force everywhere.
+func move(t *testing.T, m *mesh.Mesh, s lavenderridge.ServiceState) {
+	t.Helper()
+	v := m.Members[0].Daemon.Status().Versions.Catalogue
+	if e := m.SetDataCentre("fukuoka", s); e != nil {
+		t.Fatal(e)
+	}
+	waitFor(t, m, func(d *assembly.Daemon) bool { return d.Status().Versions.Catalogue > v })
+}
+
+func runs(m *mesh.Mesh, d lavenderridge.DataCentreID) int {
+	n := 0
+	for _, i := range m.Members {
+		if i.Instance.DataCentre == d {
+			n += len(i.Backend.(*backendserver.Server).Runs())
+		}
+	}
+	return n
+}
