--- a/internal/cmd/convergence/usage.go
+++ b/internal/cmd/convergence/usage.go
@@ -34,7 +34,7 @@
 func (f *fleet) usage() usage {
 	u := usage{time: time.Now(), processor: processorTime()}
 	for _, d := range f.daemons {
-		c := d.PeerCounters()
+		c := d.PeerTraffic()
 		b, n := c.Datagrams()
 		u.datagrams += float64(b) + headerBytes*float64(n)
 		_, x := c.Exchanges()
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -101,8 +101,10 @@
 // status fills in what operators see of the configuration.
 func (p *configPart) status(s *operatorhttp.Status) {
 	t := p.clock.Now()
-	s.Catalogue = p.store.Acceptance(lavenderridge.DocumentCatalogue)
-	s.InstanceList = p.store.Acceptance(lavenderridge.DocumentInstanceList)
+	a := p.store.Acceptance(lavenderridge.DocumentCatalogue)
+	s.CatalogueOrigin, s.CatalogueAcceptedAt = a.Origin, a.Time
+	a = p.store.Acceptance(lavenderridge.DocumentInstanceList)
+	s.InstanceListOrigin, s.InstanceListAcceptedAt = a.Origin, a.Time
 	s.Rejections = p.store.Rejections()
 	s.SourceAge = p.contact.Age(t)
 	s.OwnSourceAge = p.contact.OwnAge(t)
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -33,6 +33,7 @@
 	owner         *ownerPart
 	home          *homePart
 	entry         *entryPart
+	records       *operatorRecords
 	operator      *operatorPart
 	closers       []func() error
 }
@@ -55,7 +56,8 @@
 }
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
-	if d.transport, e = peerquic.NewTransport(d.config.Peer, k); e != nil {
+	d.records = newOperatorRecords(d, k)
+	if d.transport, e = peerquic.NewTransport(d.config.Peer, k, peerquic.WithMetrics(d.metrics)); e != nil {
 		return e
 	}
 	d.closeLater(d.transport.Close)
@@ -77,23 +79,33 @@
 // Run serves until c ends, and then stops without cutting a running request.
 func (d *Daemon) Run(c context.Context) error {
 	g, c := errgroup.WithContext(c)
+	// What other daemons and operators need outlives the requests in flight:
+	// neighbours hear that this daemon leaves, and late requests are refused.
 	p, f := context.WithCancel(context.WithoutCancel(c))
 	defer f()
-	g.Go(func() error { return d.configuration.run(c) })
-	g.Go(func() error { return d.operator.run(c) })
+	g.Go(func() error { return d.configuration.run(p) })
+	g.Go(func() error { return d.operator.run(p) })
+	g.Go(func() error { return d.owner.owner.Run(p) })
+	g.Go(func() error { return d.server.Serve(p) })
 	g.Go(func() error {
-		// The peer server outlives the caller server, whose last requests need
-		// its connections.
 		defer f()
-		return d.entry.server.Run(c, d.config.StopTimeout)
+		return d.serveCallers(c)
 	})
-	g.Go(func() error { return d.server.Serve(p) })
 	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
 	e := g.Wait()
 	d.log.Info("DaemonStopped", zap.Error(e))
 	return errors.Join(e, d.close())
 }
 
+// serveCallers answers callers until c ends, and returns when no request of a
+// caller or of another daemon is in flight.
+func (d *Daemon) serveCallers(c context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { return d.owner.stop(c, d) })
+	g.Go(func() error { return d.entry.server.Run(c, d.config.StopTimeout) })
+	return g.Wait()
+}
+
 // Status returns what the daemon says of itself.
 func (d *Daemon) Status() operatorhttp.Status {
 	s := operatorhttp.Status{
@@ -103,18 +115,16 @@
 	}
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
+		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
 	d.configuration.status(&s)
+	d.records.fill(&s)
 	return s
 }
 
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
-	u, e := d.entry.server.Endpoint()
-	if e != nil {
-		return ""
-	}
-	return lavenderridge.Address(u.Host)
+	return d.entry.address
 }
 
 // PeerAddress returns where the daemon answers other daemons.
--- a/internal/daemon/assembly/counters.go
+++ b/internal/daemon/assembly/traffic.go
@@ -6,9 +6,9 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/peerquic"
 )
 
-// PeerCounters returns what the daemon's connections to other daemons carried.
-func (d *Daemon) PeerCounters() *peerquic.Counters {
-	return d.transport.Counters()
+// PeerTraffic returns what the daemon's connections to other daemons carried.
+func (d *Daemon) PeerTraffic() *peerquic.Traffic {
+	return d.transport.Traffic()
 }
 
 // Metrics returns the daemon's metrics.
--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -20,7 +20,11 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/instancesjson"
 )
 
-const latency = time.Millisecond
+// The latencies of a link, each way.
+const (
+	fastLink = time.Millisecond
+	slowLink = 150 * time.Millisecond
+)
 
 var documents = []lavenderridge.DocumentName{lavenderridge.DocumentCatalogue, lavenderridge.DocumentInstanceList}
 
@@ -32,6 +36,8 @@
 	nodes  []*node
 	// lossy is the part of calls that go wrong.
 	lossy float64
+	// latency is that of every link between daemons.
+	latency time.Duration
 	cuts  map[[2]int]bool
 	down  bool
 	// published holds every version of a document; good those without faults.
@@ -77,7 +83,7 @@
 
 func newFleet(n, dataCentres int, seed uint64) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{}, latency: fastLink,
 		published: map[lavenderridge.DocumentName][][]byte{}, good: map[lavenderridge.DocumentName][]bool{},
 	}
 	for i := range n {
@@ -182,7 +188,7 @@
 // Read implements lavenderridge.ConfigService.
 func (n *node) Read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (*lavenderridge.Document, error) {
 	for t := time.Now(); ; time.Sleep(50 * time.Millisecond) {
-		time.Sleep(latency)
+		time.Sleep(fastLink)
 		n.wait()
 		if e := c.Err(); e != nil {
 			return nil, e
@@ -353,20 +359,22 @@
 	faultKinds
 )
 
-func (f *fleet) fault() (int, time.Duration) {
+// fault returns what befalls the next call, how late it is if it is late, and
+// the latency of the link.
+func (f *fleet) fault() (k int, late, latency time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.random.Float64() >= f.lossy {
-		return faultNone, 0
+		return faultNone, 0, f.latency
 	}
-	return 1 + f.random.IntN(faultKinds-1), time.Duration(f.random.Int64N(int64(3 * time.Second)))
+	return 1 + f.random.IntN(faultKinds-1), time.Duration(f.random.Int64N(int64(3 * time.Second))), f.latency
 }
 
 // deliver returns nil when the call is refused; a call that is lost takes
 // longer than any caller waits.
 func deliver[V any](r *remote, f func(*process) (*V, error)) *V {
 	const lost = 4 * time.Second
-	k, d := r.from.fleet.fault()
+	k, d, latency := r.from.fleet.fault()
 	time.Sleep(latency)
 	r.from.wait()
 	r.from.fleet.mutex.Lock()
@@ -467,7 +475,7 @@
 // heal ends every fault.
 func (f *fleet) heal() {
 	f.mutex.Lock()
-	f.lossy, f.down = 0, false
+	f.lossy, f.down, f.latency = 0, false, fastLink
 	f.faults++
 	clear(f.cuts)
 	for _, n := range f.nodes {
--- a/internal/daemon/peer/session_test.go
+++ b/internal/daemon/peer/session_test.go
@@ -35,20 +35,21 @@
 
 func (f *fleet) command(t *testing.T, d *datadriven.TestData) string {
 	var a action
-	var s int
+	var s, ms int
 	d.MaybeScanArgs(t, "node", &a.Node)
 	d.MaybeScanArgs(t, "other", &a.Other)
 	d.MaybeScanArgs(t, "seconds", &s)
+	d.MaybeScanArgs(t, "milliseconds", &ms)
 	switch d.Cmd {
 	case "launch":
 		for _, n := range f.nodes {
 			n.launch()
 		}
 	case "wait":
-		f.run(time.Duration(s) * time.Second)
+		f.run(time.Duration(s)*time.Second + time.Duration(ms)*time.Millisecond)
 	case "status":
 		if d.HasArg("node") {
-			return f.nodes[a.Node].status()
+			return fmt.Sprintf("%s ready %t\n", f.nodes[a.Node].self.ID, f.nodes[a.Node].proc.isReady())
 		}
 		var b strings.Builder
 		for _, n := range f.nodes {
@@ -74,7 +75,7 @@
 		return string(n.self.ID) + " down\n"
 	}
 	var b strings.Builder
-	v := n.proc.versions()
+	v := n.proc.store.Stamps().Versions()
 	fmt.Fprintf(&b, "%s catalogue %d instances %d ready %t", n.self.ID, v.Catalogue, v.InstanceList, n.proc.isReady())
 	for _, m := range n.proc.neighbourhood.Neighbours(n.Now()) {
 		if m.Down {
--- a/internal/daemon/peer/statemachine_test.go
+++ b/internal/daemon/peer/statemachine_test.go
@@ -32,7 +32,7 @@
 
 var actionNames = []string{
 	"publish", "publish", "publish bad", "publish list", "drop instance", "cross", "kill", "restart", "restart", "pause", "resume",
-	"cut", "partition", "mend", "lossy", "lossless", "source down", "source up", "stale", "fresh", "herd", "wait",
+	"cut", "partition", "mend", "lossy", "lossless", "source down", "source up", "stale", "fresh", "slow", "fast", "herd", "wait",
 }
 
 func drawAction(t *rapid.T) action {
@@ -91,6 +91,10 @@
 		f.lossy = 0.4
 	case "lossless":
 		f.lossy = 0
+	case "slow":
+		f.latency = slowLink
+	case "fast":
+		f.latency = fastLink
 	case "source down", "source up":
 		f.down = a.Name == "source down"
 	case "stale":
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -12,16 +12,27 @@
 	DataCentre  lavenderridge.DataCentreID
 	Service     lavenderridge.ServiceID
 	Incarnation lavenderridge.Incarnation
+	StartedAt   time.Time
 	Ready       bool
 	// Leaving tells that the daemon takes no new work because it stops.
-	Leaving    bool
-	Versions   lavenderridge.Versions
-	AcceptedAt time.Time
-	Load       lavenderridge.Load
-	// Catalogue and InstanceList tell when the versions in force were accepted
-	// and where they came from.
-	Catalogue    lavenderridge.Acceptance
-	InstanceList lavenderridge.Acceptance
+	Leaving  bool
+	Versions lavenderridge.Versions
+	// CatalogueDigest and InstanceListDigest tell two documents of the same
+	// version apart.
+	CatalogueDigest    string
+	InstanceListDigest string
+	AcceptedAt         time.Time
+	Load               lavenderridge.Load
+	// KeysNotAfter is when the daemon's certificate expires.
+	KeysNotAfter time.Time
+	// PeersRefused counts the handshakes with other daemons that were refused.
+	PeersRefused uint64
+	// CatalogueOrigin and InstanceListOrigin tell where the versions in force
+	// came from: the source or another daemon's instance.
+	CatalogueOrigin        lavenderridge.Origin
+	InstanceListOrigin     lavenderridge.Origin
+	CatalogueAcceptedAt    time.Time
+	InstanceListAcceptedAt time.Time
 	// Rejections are the versions that did not come into force of late.
 	Rejections []lavenderridge.Rejection
 	// SourceAge is the time since any daemon had an answer from the source, as
--- a/internal/transport/peerquic/countingconn.go
+++ b/internal/transport/peerquic/countingconn.go
@@ -8,11 +8,11 @@
 // receives is what others send.
 type countingConn struct {
 	*net.UDPConn
-	counters *Counters
+	traffic *Traffic
 }
 
-func newCountingConn(s *net.UDPConn, c *Counters) *countingConn {
-	return &countingConn{UDPConn: s, counters: c}
+func newCountingConn(s *net.UDPConn, c *Traffic) *countingConn {
+	return &countingConn{UDPConn: s, traffic: c}
 }
 
 // WriteMsgUDP implements quic.OOBCapablePacketConn.
@@ -30,6 +30,6 @@
 }
 
 func (s *countingConn) count(n int) {
-	s.counters.sent.Add(int64(n))
-	s.counters.packets.Add(1)
+	s.traffic.sent.Add(int64(n))
+	s.traffic.packets.Add(1)
 }
