--- /dev/null
+++ b/internal/cmd/lavenderridge/configuration_test.go
@@ -0,0 +1,150 @@
+package lavenderridge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/standin/configservice"
+	"github.com/lavenderridge/lavenderridge/internal/transport/instancesjson"
+	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+// processFleet is a fleet of separate processes with one source.
+type processFleet struct {
+	binary string
+	source *configservice.Server
+	all    []*process
+}
+
+func newProcessFleet(t *testing.T, n int) *processFleet {
+	t.Helper()
+	f := &processFleet{binary: buildBinary(t), source: configservice.NewServer(0)}
+	h := httptest.NewServer(f.source)
+	t.Cleanup(h.Close)
+	a, e := peertls.NewAuthority(time.Now(), time.Hour)
+	if e != nil {
+		t.Fatal(e)
+	}
+	var l lavenderridge.InstanceList
+	for i := range n {
+		l.Instances = append(l.Instances, lavenderridge.Instance{
+			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: []lavenderridge.DataCentreID{"fukuoka", "kumamoto"}[i%2],
+			Service: "roster", Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+		})
+	}
+	b, e := instancesjson.Format(&l)
+	if e != nil {
+		t.Fatal(e)
+	}
+	f.source.Publish(lavenderridge.DocumentInstanceList, b)
+	f.publish(lavenderridge.InService)
+	for _, v := range l.Instances {
+		p := prepareProcess(t, strings.TrimPrefix(h.URL, "http://"), a, v)
+		p.start(t, f.binary)
+		f.all = append(f.all, p)
+		t.Cleanup(p.kill)
+	}
+	f.await(t, f.all, 1)
+	return f
+}
+
+// publish publishes the catalogue with the data centre fukuoka in the state s.
+func (f *processFleet) publish(s lavenderridge.ServiceState) lavenderridge.Version {
+	return f.source.Publish(lavenderridge.DocumentCatalogue, fmt.Appendf(nil, endToEndCatalogue, s))
+}
+
+func (f *processFleet) await(t *testing.T, a []*process, v lavenderridge.Version) {
+	t.Helper()
+	b := time.Now()
+	for _, p := range a {
+		eventually(t, 10*time.Second, fmt.Sprintf("%s ready with catalogue %d", p.instance.ID, v), func() bool {
+			s, e := p.status()
+			return e == nil && s.Ready && s.Versions.Catalogue == v
+		})
+	}
+	t.Logf("%d daemons ready with catalogue %d after %s", len(a), v, time.Since(b).Round(time.Millisecond))
+}
+
+func (p *process) status() (s operatorhttp.Status, e error) {
+	_, _, b, e := get("http://" + p.operator + "/status")
+	if e == nil {
+		e = json.Unmarshal([]byte(b), &s)
+	}
+	return s, e
+}
+
+func (p *process) kill() {
+	_ = p.command.Process.Signal(syscall.SIGKILL)
+	_ = p.command.Wait()
+}
+
+// TestKilledDuringOutage kills a daemon while the source is down. Its
+// replacement holds nothing and has the version in force from a neighbour.
+func TestKilledDuringOutage(t *testing.T) {
+	f := newProcessFleet(t, 4)
+	v := f.publish(lavenderridge.InService)
+	f.await(t, f.all, v)
+	f.source.SetDown(true)
+	f.all[0].kill()
+	f.all[0].start(t, f.binary)
+	f.await(t, f.all, v)
+	s, e := f.all[0].status()
+	if e != nil || s.CatalogueOrigin == lavenderridge.OriginSource || s.InstanceListOrigin == lavenderridge.OriginSource {
+		t.Errorf("catalogue from %q, list from %q, error %v; want both from a neighbour", s.CatalogueOrigin, s.InstanceListOrigin, e)
+	}
+	if s, _, _, e := get("http://" + f.all[0].caller + "/roster/1"); e != nil || s != 200 {
+		t.Errorf("status %d, error %v", s, e)
+	}
+	f.source.SetDown(false)
+	f.await(t, f.all, f.publish(lavenderridge.InService))
+}
+
+// TestPausedDaemon stops a daemon while a data centre is taken out of service.
+// When it goes on, it never takes work under the version that it still holds.
+func TestPausedDaemon(t *testing.T) {
+	f := newProcessFleet(t, 4)
+	p := f.all[1]
+	if e := p.command.Process.Signal(syscall.SIGSTOP); e != nil {
+		t.Fatal(e)
+	}
+	v := f.publish(lavenderridge.OutOfService)
+	f.await(t, []*process{f.all[0], f.all[2], f.all[3]}, v)
+	time.Sleep(3 * time.Second)
+	if e := p.command.Process.Signal(syscall.SIGCONT); e != nil {
+		t.Fatal(e)
+	}
+	for b := time.Now(); time.Since(b) < time.Second; {
+		s, e := p.status()
+		if e == nil && s.Ready && s.Versions.Catalogue < v {
+			t.Fatalf("ready with catalogue %d after a pause; %d is in force elsewhere", s.Versions.Catalogue, v)
+		}
+	}
+	f.await(t, f.all, v)
+}
+
+// TestHerd kills all daemons at once and starts them again, holding nothing.
+func TestHerd(t *testing.T) {
+	f := newProcessFleet(t, 8)
+	v := f.publish(lavenderridge.InService)
+	f.await(t, f.all, v)
+	n, _ := f.source.Calls()
+	for _, p := range f.all {
+		p.kill()
+	}
+	for _, p := range f.all {
+		p.start(t, f.binary)
+	}
+	f.await(t, f.all, v)
+	m, r := f.source.Calls()
+	t.Logf("%d calls to the source, %d refused", m-n, r)
+	if m-n > 4*uint64(len(f.all)) {
+		t.Errorf("%d calls to the source by %d daemons", m-n, len(f.all))
+	}
+}
--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -55,6 +55,7 @@
 	instance lavenderridge.Instance
 	backend  *backendserver.Server
 	command  *exec.Cmd
+	settings string
 	caller   string
 	operator string
 	output   *bytes.Buffer
@@ -89,6 +90,28 @@
 }
 
 func startProcess(t *testing.T, binary, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
+	t.Helper()
+	p := prepareProcess(t, source, a, n)
+	p.start(t, binary)
+	t.Cleanup(func() {
+		_ = p.command.Process.Signal(syscall.SIGTERM)
+		if e := p.command.Wait(); e != nil {
+			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
+		}
+	})
+	return p
+}
+
+func (p *process) start(t *testing.T, binary string) {
+	t.Helper()
+	p.command = exec.Command(binary, "serve", p.settings)
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if e := p.command.Start(); e != nil {
+		t.Fatal(e)
+	}
+}
+
+func prepareProcess(t *testing.T, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
 	t.Helper()
 	d := t.TempDir()
 	c, e := a.Issue(peertls.Identity{Instance: n.ID, DataCentre: n.DataCentre}, time.Now(), time.Hour)
@@ -113,17 +136,7 @@
 	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
 		n.ID, n.DataCentre, n.Service, source, strings.TrimPrefix(h.URL, "http://"), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
-	p.command = exec.Command(binary, "serve", write("settings.toml", []byte(s)))
-	p.command.Stdout, p.command.Stderr = p.output, p.output
-	if e := p.command.Start(); e != nil {
-		t.Fatal(e)
-	}
-	t.Cleanup(func() {
-		_ = p.command.Process.Signal(syscall.SIGTERM)
-		if e := p.command.Wait(); e != nil {
-			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
-		}
-	})
+	p.settings = write("settings.toml", []byte(s))
 	return p
 }
 
--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -38,8 +38,8 @@
 	lossy float64
 	// latency is that of every link between daemons.
 	latency time.Duration
-	cuts  map[[2]int]bool
-	down  bool
+	cuts    map[[2]int]bool
+	down    bool
 	// published holds every version of a document; good those without faults.
 	published map[lavenderridge.DocumentName][][]byte
 	good      map[lavenderridge.DocumentName][]bool
--- a/internal/policy/peer/neighbourhood_test.go
+++ b/internal/policy/peer/neighbourhood_test.go
@@ -36,7 +36,8 @@
 		case "failed":
 			h.Failed(s.Instance)
 		case "heard":
-			return fmt.Sprintf("taken in %t, pull %t\n", h.Heard(s, d.HasArg("called"), false, now), p.Heard(s, have))
+			o := h.Heard(s, d.HasArg("called"), false, now)
+			return fmt.Sprintf("taken in %t, pull %t\n", o, o && p.Heard(s, have))
 		case "behind":
 			return names(h.Behind(have, now))
 		case "next":
