--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,7 @@
 	CounterAnnounce    = "Control.Announce"
 	CounterAntiEntropy = "Control.AntiEntropy"
 	CounterGate        = "Control.Gate"
+	CounterLeaving     = "Control.Leaving"
 	CounterPullDelta   = "Control.PullDelta"
 	CounterPullWhole   = "Control.PullWhole"
 )
@@ -55,6 +57,7 @@
 	plan    *peer.PullPlan
 	limiter *peer.PullLimiter
 	wake    chan struct{}
+	told    atomic.Bool
 }
 
 var _ Exchanger = (*Spreader)(nil)
@@ -112,7 +115,9 @@
 	g.Go(func() error { return s.pullLoop(c) })
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.beatLoop(c) })
-	return g.Wait()
+	e := g.Wait()
+	s.tellLeaving(context.WithoutCancel(c))
+	return e
 }
 
 // Heard takes in the sender of any message. It does not block.
--- a/internal/daemon/peer/spreaderpull.go
+++ b/internal/daemon/peer/spreaderpull.go
@@ -83,6 +83,14 @@
 func (s *Spreader) beatLoop(c context.Context) error {
 	for sleep(c, beatInterval) {
 		s.gate.Beat(s.clock.Now())
+		s.tellLeaving(c)
 	}
 	return nil
 }
+
+// tellLeaving tells the neighbours once that the daemon takes no new work.
+func (s *Spreader) tellLeaving(c context.Context) {
+	if s.leaving() && s.told.CompareAndSwap(false, true) {
+		s.callAll(c, s.neighbourhood.Reachable(s.clock.Now()), CounterLeaving)
+	}
+}
