--- a/internal/cmd/convergence/run.go
+++ b/internal/cmd/convergence/run.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// warmTime is long enough for connections to all neighbours to be made by
+	// anti-entropy, so that their handshakes do not count as part of a change.
+	warmTime    = 25 * time.Second
 	settleTime  = 3 * time.Second
 	changePause = time.Second
 	peakWindow  = time.Second
@@ -49,7 +52,9 @@
 	defer f.close()
 	r := &Report{Daemons: n, Mode: m}
 	f.awaitReady(time.Now())
-	pause(c, settleTime)
+	if m == "neighbours" {
+		pause(c, warmTime)
+	}
 	if e := f.changes(c, r); e != nil {
 		return nil, e
 	}
--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -195,13 +195,16 @@
 // force.
 func (s *Spreader) watchStore(c context.Context) error {
 	var l *lavenderridge.InstanceList
+	var w sync.WaitGroup
+	defer w.Wait()
 	for {
 		f := s.store.Changed()
 		if n := s.store.List(); n != nil && n != l {
 			l = n
 			s.neighbourhood.SetList(l)
 		}
-		s.announce(c)
+		// A neighbour that does not answer must not hold up the next version.
+		w.Go(func() { s.announce(c) })
 		select {
 		case <-c.Done():
 			return nil
@@ -252,7 +255,7 @@
 		return nil, e
 	}
 	s.takeIn(q, false)
-	if n != CounterGate && b > 1 {
+	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
 	}
 	return q, nil
--- a/internal/daemon/peer/spreadergate.go
+++ b/internal/daemon/peer/spreadergate.go
@@ -81,12 +81,9 @@
 // reopen asks the neighbours after a pause. The first that answers opens the
 // gate.
 func (s *Spreader) reopen(c context.Context) {
-	b := s.gate.Epoch()
-	if w, n := s.ask(c); n > 0 {
-		s.gate.Open(b, w, s.clock.Now())
-		return
+	if _, n := s.ask(c); n == 0 {
+		sleep(c, reopenInterval)
 	}
-	sleep(c, reopenInterval)
 }
 
 func (s *Spreader) record(n, r string) {
--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -21,7 +21,7 @@
 	maxPeerAge = 4 * time.Second
 	// maxSourceAge is the age of the fleet's last contact with the source from
 	// which on every daemon reads it.
-	maxSourceAge = 20 * time.Second
+	maxSourceAge = 30 * time.Second
 	// peerGrace is the time that neighbours have to give a first version.
 	peerGrace = time.Second
 
