--- a/digest.go
+++ b/digest.go
@@ -1,6 +1,9 @@
 package lavenderridge
 
-import "encoding/hex"
+import (
+	"encoding/hex"
+	"fmt"
+)
 
 // A Digest is the SHA-256 hash of a document's canonical encoding.
 type Digest [32]byte
@@ -9,3 +12,19 @@
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:8])
 }
+
+// MarshalText returns the whole digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText reads what MarshalText returns.
+func (d *Digest) UnmarshalText(b []byte) error {
+	if len(b) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest: %d characters; want %d", len(b), hex.EncodedLen(len(d)))
+	}
+	if _, e := hex.Decode(d[:], b); e != nil {
+		return fmt.Errorf("digest: %w", e)
+	}
+	return nil
+}
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -25,6 +25,7 @@
 	recorder    lavenderridge.Recorder
 	observer    lavenderridge.Observer
 	metrics     metrics.Registry
+	sourceOnly  bool
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
@@ -67,7 +68,7 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerquic.NewServer(d.transport, peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper))
+	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.configuration.spreader.Heard))
 	if d.entry, e = newEntryPart(d); e != nil {
 		return e
 	}
@@ -117,6 +118,7 @@
 		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
 	d.records.fill(&s)
+	d.configuration.status(&s)
 	return s
 }
 
@@ -142,7 +144,7 @@
 
 // peers returns the way to other daemons.
 func (d *Daemon) peers() lavenderridge.PeerDialer {
-	return d.transport
+	return peer.NewHearingDialer(d.transport, d.configuration.spreader.Heard)
 }
 
 func (d *Daemon) closeLater(f func() error) {
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -93,6 +93,7 @@
 		return l.lost(c, e)
 	}
 	l.hear()
+	l.transport.traffic.call(k, len(b), len(p))
 	return l.reply(p, v)
 }
 
