--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -70,13 +72,17 @@
 		return nil, f
 	}
 	s := &Settings{reader: r}
+	s.read(r)
+	r.unknown()
+	return s, r.sorted()
+}
+
+func (s *Settings) read(r *reader) {
 	s.readIdentity(r)
 	s.readAddresses(r)
 	s.readLimits(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
-	r.unknown()
-	return s, r.sorted()
 }
 
 func (s *Settings) readIdentity(r *reader) {
@@ -165,3 +171,11 @@
 	}
 	return filepath.Join(filepath.Dir(f), p)
 }
+
+// Names returns the key path of every setting, sorted.
+func Names() []string {
+	r, _ := newReader("", nil)
+	s := &Settings{reader: r}
+	s.read(r)
+	return slices.Sorted(maps.Keys(r.used))
+}
