Name the metrics of peer connections

The peers' own counters tell of refused certificates, so the gauge that counted the same in the keys is gone; the status still shows it. A run of capitals in a metric's name is one word now (TLSRefused).

--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -47,7 +47,6 @@
 	operator.RegisterProcessMetrics(d.metrics)
 	m := d.metrics
 	metrics.NewRegisteredFunctionalGauge("KeysNotAfterSeconds", m, func() int64 { return r.keys.NotAfter().Unix() })
-	metrics.NewRegisteredFunctionalGauge("PeersRefused", m, func() int64 { return int64(r.keys.Refused()) })
 	metrics.NewRegisteredFunctionalGauge("DecisionsRecorded", m, func() int64 { return int64(r.ring.Recorded()) })
 	metrics.NewRegisteredFunctionalGauge("BurnObservationsDropped", m, func() int64 { return int64(r.burn.Dropped()) })
 	metrics.NewRegisteredFunctionalGauge("StartedAtSeconds", m, r.startedAt.Unix)
--- a/internal/transport/operatorhttp/metrics.go
+++ b/internal/transport/operatorhttp/metrics.go
@@ -101,14 +101,15 @@
 	_, _ = fmt.Fprintf(w, "# TYPE %s %s\n", f, k)
 }
 
-// snakeCase returns the Pascal-case name s in snake case.
+// snakeCase returns the Pascal-case name s in snake case; a run of capitals is
+// one word.
 func snakeCase(s string) string {
 	var b strings.Builder
-	l := false
-	for _, c := range s {
+	r := []rune(s)
+	for i, c := range r {
 		switch {
 		case unicode.IsUpper(c):
-			if l {
+			if i > 0 && startsWord(r, i) {
 				b.WriteByte('_')
 			}
 			b.WriteRune(unicode.ToLower(c))
@@ -117,7 +118,14 @@
 		default:
 			b.WriteByte('_')
 		}
-		l = unicode.IsLower(c) || unicode.IsDigit(c)
 	}
 	return b.String()
 }
+
+// startsWord reports whether the capital at i begins a word of r.
+func startsWord(r []rune, i int) bool {
+	if unicode.IsLower(r[i-1]) || unicode.IsDigit(r[i-1]) {
+		return true
+	}
+	return unicode.IsUpper(r[i-1]) && i+1 < len(r) && unicode.IsLower(r[i+1])
+}
--- a/internal/transport/operatorhttp/server_test.go
+++ b/internal/transport/operatorhttp/server_test.go
@@ -76,6 +76,7 @@
 	metrics.NewRegisteredCounter("Requests{Good=true}", r).Inc(3)
 	metrics.NewRegisteredCounter("Requests{Good=false}", r).Inc(1)
 	metrics.NewRegisteredGauge("HeapBytes", r).Update(5)
+	metrics.NewRegisteredGauge("PeerTLSRefused", r).Update(6)
 	metrics.NewRegisteredGaugeFloat64("RetryTokens{Service=roster}", r).Update(0.5)
 	h := metrics.NewRegisteredHistogram("RequestLatencyMicroseconds", r, metrics.NewUniformSample(10))
 	h.Update(100)
