--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -6,6 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"go.uber.org/zap"
 
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
@@ -43,6 +44,9 @@
 	}
 	defer func() { _ = l.Sync() }()
 	kratoslog.SetLogger(kratosLogger{log: l})
+	if !v.OperatorIsLoopback() {
+		l.Warn("OperatorAddressRemote", zap.String("Address", string(v.Daemon.Operator)))
+	}
 	k, e := v.Keys()
 	if e != nil {
 		return e
--- a/internal/cmd/settings/reader.go
+++ b/internal/cmd/settings/reader.go
@@ -213,12 +213,16 @@
 }
 
 func (r *reader) loopback(k string, a lavenderridge.Address) {
-	p, e := netip.ParseAddrPort(string(a))
-	if e == nil && !p.Addr().IsLoopback() {
+	if a != "" && !isLoopback(a) {
 		r.add(k, "%s is not a loopback address; set Operator.AllowRemote to allow it", a)
 	}
 }
 
+func isLoopback(a lavenderridge.Address) bool {
+	p, e := netip.ParseAddrPort(string(a))
+	return e == nil && p.Addr().IsLoopback()
+}
+
 func (r *reader) free(k, n string, a lavenderridge.Address) {
 	var e error
 	if n == "udp" {
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -146,6 +146,12 @@
 	return r.sorted()
 }
 
+// OperatorIsLoopback reports whether only this machine reaches the operator
+// address.
+func (s *Settings) OperatorIsLoopback() bool {
+	return isLoopback(s.Daemon.Operator)
+}
+
 // Keys loads the certificate files.
 func (s *Settings) Keys() (*peertls.Keys, error) {
 	k, e := s.Daemon.KeyFiles.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
--- a/internal/transport/peertls/reloader.go
+++ b/internal/transport/peertls/reloader.go
@@ -7,6 +7,9 @@
 	"go.uber.org/zap"
 )
 
+// expiryWarning is how long before its end a certificate is warned of.
+const expiryWarning = 72 * time.Hour
+
 // A Reloader puts changed key files in force while the daemon runs. Files with
 // faults leave the keys in force as they are.
 type Reloader struct {
@@ -15,6 +18,7 @@
 	keys     *Keys
 	log      *zap.Logger
 	seen     [3]fileStamp
+	warned   time.Time
 }
 
 // NewReloader returns a reloader of the keys k of the daemon i, which were
@@ -38,9 +42,24 @@
 	}
 }
 
-// Check loads the files when they have changed since the last look. The time t
-// decides whether the new certificate is valid.
+// Check loads the files when they have changed since the last look, and logs
+// when the certificate in force expires soon after the time t.
 func (r *Reloader) Check(t time.Time) {
+	r.reload(t)
+	r.warn(t)
+}
+
+// warn logs once for each certificate that it expires soon.
+func (r *Reloader) warn(t time.Time) {
+	n := r.keys.NotAfter()
+	if t.Before(n.Add(-expiryWarning)) || n.Equal(r.warned) {
+		return
+	}
+	r.warned = n
+	r.log.Warn("KeysExpireSoon", zap.Time("NotAfter", n))
+}
+
+func (r *Reloader) reload(t time.Time) {
 	s, o := r.files.stamps()
 	if !o || s == r.seen {
 		return
