--- a/internal/cmd/convergence/run.go
+++ b/internal/cmd/convergence/run.go
@@ -65,13 +65,14 @@
 }
 
 func (f *fleet) awaitVersion(t time.Time, d lavenderridge.DocumentName, v lavenderridge.Version) Latencies {
-	g := func(s *operatorhttp.Status) lavenderridge.Acceptance {
-		if d == lavenderridge.DocumentCatalogue {
-			return s.Catalogue
-		}
-		return s.InstanceList
+	if d == lavenderridge.DocumentCatalogue {
+		return f.await(t,
+			func(s *operatorhttp.Status) bool { return s.Versions.Catalogue >= v },
+			func(s *operatorhttp.Status) time.Time { return s.CatalogueAcceptedAt })
 	}
-	return f.await(t, func(s *operatorhttp.Status) bool { return g(s).Stamp.Version >= v }, func(s *operatorhttp.Status) time.Time { return g(s).Time })
+	return f.await(t,
+		func(s *operatorhttp.Status) bool { return s.Versions.InstanceList >= v },
+		func(s *operatorhttp.Status) time.Time { return s.InstanceListAcceptedAt })
 }
 
 // changes publishes changes of both documents, one after the other.
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -117,8 +117,8 @@
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
-	d.records.fill(&s)
 	d.configuration.status(&s)
+	d.records.fill(&s)
 	return s
 }
 
--- a/internal/policy/peer/pullplan.go
+++ b/internal/policy/peer/pullplan.go
@@ -10,6 +10,9 @@
 const (
 	// maxHolders bounds the daemons that a pull plan remembers.
 	maxHolders = 64
+	// maxPullFailures is the number of failed pulls after which a daemon is
+	// forgotten until it is heard of again.
+	maxPullFailures = 5
 	// failedPause is how long a daemon whose pull failed is passed over.
 	failedPause = 2 * time.Second
 	// busyPause is how long a busy daemon is passed over.
@@ -25,8 +28,9 @@
 
 // pullHolder is a daemon that has something newer.
 type pullHolder struct {
-	stamps lavenderridge.Stamps
-	until  time.Time
+	stamps   lavenderridge.Stamps
+	until    time.Time
+	failures int
 }
 
 // NewPullPlan returns a plan that knows nobody.
@@ -78,8 +82,8 @@
 	return b, d, b != ""
 }
 
-// Failed passes over the instance n for a while after the time t. The flag s
-// says that it was only busy.
+// Failed passes over the instance n for a while after the time t, and forgets
+// it after several failures. The flag s says that it was only busy.
 func (p *PullPlan) Failed(n lavenderridge.InstanceID, s bool, t time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -87,9 +91,13 @@
 	if !o {
 		return
 	}
-	v.until = t.Add(failedPause)
 	if s {
 		v.until = t.Add(busyPause)
+		return
+	}
+	v.until = t.Add(failedPause)
+	if v.failures++; v.failures == maxPullFailures {
+		delete(p.holders, n)
 	}
 }
 
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -27,10 +27,12 @@
 	KeysNotAfter time.Time
 	// PeersRefused counts the handshakes with other daemons that were refused.
 	PeersRefused uint64
-	// Catalogue and InstanceList tell when the versions in force were accepted
-	// and where they came from.
-	Catalogue    lavenderridge.Acceptance
-	InstanceList lavenderridge.Acceptance
+	// CatalogueOrigin and InstanceListOrigin tell where the versions in force
+	// came from: the source or another daemon's instance.
+	CatalogueOrigin        lavenderridge.Origin
+	InstanceListOrigin     lavenderridge.Origin
+	CatalogueAcceptedAt    time.Time
+	InstanceListAcceptedAt time.Time
 	// Rejections are the versions that did not come into force of late.
 	Rejections []lavenderridge.Rejection
 	// SourceAge is the time since any daemon had an answer from the source, as
--- a/internal/transport/peerquic/compact.go
+++ b/internal/transport/peerquic/compact.go
@@ -173,7 +173,7 @@
 	if lavenderridge.ByteCount(len(p.Whole)) < minCompressed {
 		return w
 	}
-	if b := encoder().EncodeAll(p.Whole, nil); len(b) < len(p.Whole) {
+	if b := compressor().EncodeAll(p.Whole, nil); len(b) < len(p.Whole) {
 		w.Whole, w.Compressed = nil, b
 	}
 	return w
@@ -186,7 +186,7 @@
 	if e := errors.Join(e, x); e != nil || len(w.Compressed) == 0 {
 		return p, e
 	}
-	b, e := decoder().DecodeAll(w.Compressed, nil)
+	b, e := decompressor().DecodeAll(w.Compressed, nil)
 	if e != nil {
 		return p, fmt.Errorf("peerquic: decompress: %w", e)
 	}
@@ -194,7 +194,7 @@
 	return p, nil
 }
 
-var encoder = sync.OnceValue(func() *zstd.Encoder {
+var compressor = sync.OnceValue(func() *zstd.Encoder {
 	z, e := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
 	if e != nil {
 		panic(e)
@@ -202,7 +202,7 @@
 	return z
 })
 
-var decoder = sync.OnceValue(func() *zstd.Decoder {
+var decompressor = sync.OnceValue(func() *zstd.Decoder {
 	z, e := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(maxDecompressed)))
 	if e != nil {
 		panic(e)
