--- /dev/null
+++ b/internal/cmd/latency/doc.go
@@ -0,0 +1,2 @@
+// Package latency measures what a daemon adds to a call.
+package latency
--- /dev/null
+++ b/internal/cmd/latency/run.go
@@ -0,0 +1,75 @@
+package latency
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
+)
+
+const (
+	near lavenderridge.DataCentreID = "fukuoka"
+	far  lavenderridge.DataCentreID = "kumamoto"
+
+	settleTime = 10 * time.Second
+	warmUp     = 2 * time.Second
+)
+
+// Run measures the ways in turn, round by round, on one mesh of two daemons.
+func Run(c context.Context, p Plan) (*Report, error) {
+	m, e := mesh.NewMesh(c, mesh.WithReplicas(1), mesh.WithDataCentres(near, far), mesh.WithServiceTime(p.ServiceTime))
+	if e != nil {
+		return nil, e
+	}
+	defer func() { _ = m.Close() }()
+	n := m.Members[0]
+	a := []*sampler{newSampler(Direct, p, n.BackendAddress()), newSampler(OneHop, p, n.Caller()), newSampler(TwoHops, p, n.Caller())}
+	if e := warm(c, m, p, a); e != nil {
+		return nil, e
+	}
+	for range p.Rounds {
+		for _, s := range a {
+			if e := steer(c, m, s.way); e != nil {
+				return nil, e
+			}
+			s.run(c)
+		}
+	}
+	var r Report
+	for _, s := range a {
+		r.Results = append(r.Results, s.result())
+	}
+	return &r, c.Err()
+}
+
+// warm brings connections, ramps and the runtime to their steady state.
+func warm(c context.Context, m *mesh.Mesh, p Plan, a []*sampler) error {
+	p.Duration = warmUp
+	for _, s := range a {
+		if e := steer(c, m, s.way); e != nil {
+			return e
+		}
+		newSampler(s.way, p, s.address).run(c)
+	}
+	return nil
+}
+
+// steer takes the near data centre out of service for the way over QUIC, and
+// into service for the others.
+func steer(c context.Context, m *mesh.Mesh, w Way) error {
+	s := lavenderridge.InService
+	if w == TwoHops {
+		s = lavenderridge.OutOfService
+	}
+	if e := m.SetDataCentre(near, s); e != nil {
+		return e
+	}
+	c, f := context.WithTimeout(c, settleTime)
+	defer f()
+	return m.Wait(c, func(d *assembly.Daemon) bool {
+		v := d.Status()
+		return v.Ready && v.Versions.Catalogue == m.Version
+	})
+}
--- /dev/null
+++ b/internal/cmd/lavenderridge/measurelatencycmd.go
@@ -0,0 +1,57 @@
+package lavenderridge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/cmd/latency"
+)
+
+// measureLatencyCmd measures what daemons add to a call.
+type measureLatencyCmd struct {
+	clause *kingpin.CmdClause
+	out    io.Writer
+	plan   latency.Plan
+	rate   float64
+	body   int64
+	json   bool
+}
+
+var _ command = (*measureLatencyCmd)(nil)
+
+func newMeasureLatencyCmd(a *kingpin.Application, w io.Writer) command {
+	p := a.GetCommand("measure")
+	if p == nil {
+		p = a.Command("measure", "Measure the system on this machine.")
+	}
+	m := &measureLatencyCmd{out: w, clause: p.Command("latency", "Measure the latency, processor time and allocations that daemons add to a call.")}
+	f := m.clause
+	f.Flag("rate", "Calls in a second.").Default("500").Float64Var(&m.rate)
+	f.Flag("callers", "Callers, each with one connection.").Default("16").IntVar(&m.plan.Callers)
+	f.Flag("duration", "Time of one way in one round.").Default("4s").DurationVar(&m.plan.Duration)
+	f.Flag("rounds", "Rounds through all ways.").Default("3").IntVar(&m.plan.Rounds)
+	f.Flag("service-time", "Time that a backend server takes.").Default("2ms").DurationVar(&m.plan.ServiceTime)
+	f.Flag("body", "Size of a request's body in bytes.").Default("256").Int64Var(&m.body)
+	f.Flag("json", "Print JSON.").BoolVar(&m.json)
+	return m
+}
+
+func (m *measureLatencyCmd) name() string {
+	return m.clause.FullCommand()
+}
+
+func (m *measureLatencyCmd) run(c context.Context) error {
+	m.plan.Rate, m.plan.Body = lavenderridge.Rate(m.rate), lavenderridge.ByteCount(m.body)
+	r, e := latency.Run(c, m.plan)
+	if e != nil {
+		return e
+	}
+	if m.json {
+		return json.NewEncoder(m.out).Encode(r)
+	}
+	return r.WriteTable(m.out)
+}
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -53,6 +53,7 @@
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w),
 		newLoadCmd(p, w),
 		newTryCmd(p, w),
+		newMeasureLatencyCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
 	}
 	m := make(map[string]command, len(a))
--- a/internal/standin/mesh/member.go
+++ b/internal/standin/mesh/member.go
@@ -28,7 +28,8 @@
 	return m.Daemon.CallerAddress()
 }
 
-func (m *Member) backendAddress() lavenderridge.Address {
+// BackendAddress returns where the member's backend server answers.
+func (m *Member) BackendAddress() lavenderridge.Address {
 	return lavenderridge.Address(strings.TrimPrefix(m.server.URL, "http://"))
 }
 
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -40,7 +40,9 @@
 type Mesh struct {
 	// Catalogue is the one last published.
 	Catalogue *lavenderridge.Catalogue
-	Members   []*Member
+	// Version is that of the catalogue last published.
+	Version lavenderridge.Version
+	Members []*Member
 	// Source is the configuration service.
 	Source *configservice.Server
 
@@ -167,7 +169,7 @@
 	}
 	f := assembly.Config{
 		Instance: n.Instance.ID, DataCentre: n.Instance.DataCentre, Service: n.Instance.Service,
-		ConfigService: m.sourceAddress(), Backend: n.backendAddress(), Connections: connections,
+		ConfigService: m.sourceAddress(), Backend: n.BackendAddress(), Connections: connections,
 		Caller: loopback, Peer: n.Instance.Peer, Operator: loopback,
 		MaxBody: maxBody, StopTimeout: stopTimeout,
 	}
@@ -192,7 +194,7 @@
 	if e != nil {
 		return e
 	}
-	m.Source.Publish(lavenderridge.DocumentCatalogue, b)
+	m.Version = m.Source.Publish(lavenderridge.DocumentCatalogue, b)
 	return nil
 }
 
