--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -58,6 +58,24 @@
 	caller   string
 	operator string
 	output   *bytes.Buffer
+	ended    bool
+}
+
+// stop ends the daemon by SIGTERM.
+func (p *process) stop() error {
+	p.ended = true
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	return p.command.Wait()
+}
+
+// kill ends the daemon at once.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.ended = true
+	if e := p.command.Process.Kill(); e != nil {
+		t.Fatal(e)
+	}
+	_ = p.command.Wait()
 }
 
 func buildBinary(t *testing.T) string {
@@ -107,11 +125,13 @@
 		return p
 	}
 	b := backendserver.NewServer(n.ID, 10, 2*time.Millisecond)
-	h := httptest.NewServer(b)
-	t.Cleanup(h.Close)
+	if e := b.Start(); e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(b.Close)
 	p := &process{instance: n, backend: b, caller: freeAddress(t, "tcp"), operator: freeAddress(t, "tcp"), output: &bytes.Buffer{}}
 	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
-		n.ID, n.DataCentre, n.Service, source, strings.TrimPrefix(h.URL, "http://"), p.caller, n.Peer, p.operator,
+		n.ID, n.DataCentre, n.Service, source, b.Address(), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
 	p.command = exec.Command(binary, "serve", write("settings.toml", []byte(s)))
 	p.command.Stdout, p.command.Stderr = p.output, p.output
@@ -119,8 +139,10 @@
 		t.Fatal(e)
 	}
 	t.Cleanup(func() {
-		_ = p.command.Process.Signal(syscall.SIGTERM)
-		if e := p.command.Wait(); e != nil {
+		if p.ended {
+			return
+		}
+		if e := p.stop(); e != nil {
 			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
 		}
 	})
--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -94,7 +94,11 @@
 
 func checkRefusal(t *testing.T, e error, o lavenderridge.Outcome, r lavenderridge.Reason) {
 	t.Helper()
-	if f := lavenderridge.AsRefusal(e); e == nil || f.Outcome != o || f.Reason != r {
+	if e == nil {
+		t.Errorf("no error; want %s, %s", r, o)
+		return
+	}
+	if f := lavenderridge.AsRefusal(e); f.Outcome != o || f.Reason != r {
 		t.Errorf("error %v; want %s, %s", e, r, o)
 	}
 }
