Decide which home may run a keyed request, and remember its run

Cause: keyed requests were routed to their home, but nothing kept a home from running a key that another had run.

An exchange counts only with a home that has itself been acknowledged, so that a restarted daemon with an old list cannot keep a dropped one going. Ruled out: a separate rule for pauses; the fence counts from when an exchange began and covers them.

--- a/activationreply.go
+++ b/activationreply.go
@@ -1,13 +1,18 @@
 package lavenderridge
 
-// An ActivationReply acknowledges a membership version for one incarnation of
-// the asker.
+// An ActivationReply acknowledges a membership for one incarnation of the
+// asker. Its sender's stamps tell an asker that lags what to catch up with.
 type ActivationReply struct {
 	Sender Sender
-	// Versions is the version asked for, when Acknowledged is set.
-	Versions     Versions
+	// Versions and Membership are those asked for.
+	Versions   Versions
+	Membership Digest
+	// Incarnation is that of the asker.
 	Incarnation  Incarnation
 	Acknowledged bool
-	// Records are the ledger records that now belong to the asker.
+	// Settled tells that the answering home has been active since it started
+	// or last woke from a pause.
+	Settled bool
+	// Records are ledger records of keys whose home is now the asker.
 	Records []LedgerRecord
 }
--- /dev/null
+++ b/internal/policy/peer/homemembership.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// A HomeMembership is what one snapshot says of the homes of one service. It
+// never changes once made.
+type HomeMembership struct {
+	service  lavenderridge.ServiceID
+	versions lavenderridge.Versions
+	digest   lavenderridge.Digest
+	listed   []lavenderridge.InstanceID
+	eligible []lavenderridge.InstanceID
+}
+
+// NewHomeMembership returns the membership of the service d under s.
+func NewHomeMembership(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *HomeMembership {
+	m := &HomeMembership{service: d, versions: s.Versions()}
+	for _, n := range s.Instances(d) {
+		m.listed = append(m.listed, n.ID)
+		if s.Eligible(n) {
+			m.eligible = append(m.eligible, n.ID)
+		}
+	}
+	m.digest = m.sum()
+	return m
+}
+
+// sum returns the digest of the content without the versions, so that a new
+// version that leaves the service alone needs no new acknowledgements.
+func (m *HomeMembership) sum() lavenderridge.Digest {
+	h := sha256.New()
+	for _, l := range [][]lavenderridge.InstanceID{m.listed, m.eligible} {
+		for _, n := range l {
+			h.Write([]byte(n))
+			h.Write([]byte{0})
+		}
+		h.Write([]byte{1})
+	}
+	return lavenderridge.Digest(h.Sum(nil))
+}
+
+// Versions returns the versions of the snapshot.
+func (m *HomeMembership) Versions() lavenderridge.Versions {
+	return m.versions
+}
+
+// Digest identifies the listed instances and the eligible ones.
+func (m *HomeMembership) Digest() lavenderridge.Digest {
+	return m.digest
+}
+
+// Listed returns the listed instances of the service. The caller must not
+// change the slice.
+func (m *HomeMembership) Listed() []lavenderridge.InstanceID {
+	return m.listed
+}
+
+// Lists reports whether the instance n is listed.
+func (m *HomeMembership) Lists(n lavenderridge.InstanceID) bool {
+	return slices.Contains(m.listed, n)
+}
+
+// Home returns the home of the key k, or "" when no instance is eligible.
+func (m *HomeMembership) Home(k lavenderridge.IdempotencyKey) lavenderridge.InstanceID {
+	return m.HomeWithout(k, "")
+}
+
+// HomeWithout returns the home that the key k has once the instance x is gone,
+// or "".
+func (m *HomeMembership) HomeWithout(k lavenderridge.IdempotencyKey, x lavenderridge.InstanceID) lavenderridge.InstanceID {
+	var b lavenderridge.InstanceID
+	var w uint64
+	for _, n := range m.eligible {
+		if n == x {
+			continue
+		}
+		if h := score(k, n); b == "" || h > w {
+			b, w = n, h
+		}
+	}
+	return b
+}
