Run keyed requests through the ledger of their home

Cause: the ledger and the home's state machine were not yet wired in. Records travel with the time left, because CBOR times have whole seconds.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -84,8 +84,11 @@
 		// The peer server outlives the caller server, whose last requests need
 		// its connections.
 		defer f()
-		return d.entry.server.Run(c, d.config.StopTimeout)
+		e := d.entry.server.Run(c, d.config.StopTimeout)
+		d.home.stop(c, d.config.StopTimeout)
+		return e
 	})
+	g.Go(func() error { return d.home.run(p) })
 	g.Go(func() error { return d.server.Serve(p) })
 	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
 	e := g.Wait()
@@ -100,6 +103,7 @@
 		Incarnation: d.incarnation, Load: d.owner.load(), Leaving: d.owner.leaving(),
 		Ready: d.configuration.Ready(d.clock.Now()) == nil,
 	}
+	s.Home = d.home.homes.Status()
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 	}
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -18,4 +18,5 @@
 	Versions   lavenderridge.Versions
 	AcceptedAt time.Time
 	Load       lavenderridge.Load
+	Home       lavenderridge.HomeStatus
 }
--- /dev/null
+++ b/internal/transport/peerquic/ledgerwire.go
@@ -0,0 +1,87 @@
+package peerquic
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// wireActivationReply carries the time left of each record in place of the
+// time of its expiry, because the clocks of two daemons differ.
+type wireActivationReply struct {
+	Reply     lavenderridge.ActivationReply
+	Remaining []time.Duration
+}
+
+// wireHandOver carries the time left of each record.
+type wireHandOver struct {
+	HandOver  lavenderridge.HandOver
+	Remaining []time.Duration
+}
+
+func newWireActivationReply(p *lavenderridge.ActivationReply, t time.Time) *wireActivationReply {
+	w := &wireActivationReply{Reply: *p}
+	w.Reply.Records, w.Remaining = withoutExpiry(p.Records, t)
+	return w
+}
+
+func (w *wireActivationReply) reply(t time.Time) *lavenderridge.ActivationReply {
+	w.Reply.Records = withExpiry(w.Reply.Records, w.Remaining, t)
+	return &w.Reply
+}
+
+func newWireHandOver(q *lavenderridge.HandOver, t time.Time) *wireHandOver {
+	w := &wireHandOver{HandOver: *q}
+	w.HandOver.Records, w.Remaining = withoutExpiry(q.Records, t)
+	return w
+}
+
+func (w *wireHandOver) handOver(t time.Time) *lavenderridge.HandOver {
+	w.HandOver.Records = withExpiry(w.HandOver.Records, w.Remaining, t)
+	return &w.HandOver
+}
+
+func withoutExpiry(l []lavenderridge.LedgerRecord, t time.Time) ([]lavenderridge.LedgerRecord, []time.Duration) {
+	r := make([]lavenderridge.LedgerRecord, len(l))
+	d := make([]time.Duration, len(l))
+	for i, v := range l {
+		d[i] = v.Expires.Sub(t)
+		v.Expires = time.Time{}
+		r[i] = v
+	}
+	return r, d
+}
+
+// withExpiry drops records that come without a time left.
+func withExpiry(l []lavenderridge.LedgerRecord, d []time.Duration, t time.Time) []lavenderridge.LedgerRecord {
+	l = l[:min(len(l), len(d))]
+	for i := range l {
+		l[i].Expires = t.Add(d[i])
+	}
+	return l
+}
+
+func (s *Server) activate(c context.Context, q *lavenderridge.ActivationRequest) (*wireActivationReply, error) {
+	p, e := s.peer.Activate(c, q)
+	if e != nil {
+		return nil, e
+	}
+	return newWireActivationReply(p, time.Now()), nil
+}
+
+func (s *Server) handOver(c context.Context, w *wireHandOver) (*lavenderridge.HandOverReply, error) {
+	return s.peer.HandOver(c, w.handOver(time.Now()))
+}
+
+func (l *link) activate(c context.Context, q *lavenderridge.ActivationRequest) (*lavenderridge.ActivationReply, error) {
+	w, e := ask[wireActivationReply](c, l, kindActivate, q)
+	if e != nil {
+		return nil, e
+	}
+	return w.reply(time.Now()), nil
+}
+
+func (l *link) handOver(c context.Context, q *lavenderridge.HandOver) (*lavenderridge.HandOverReply, error) {
+	return ask[lavenderridge.HandOverReply](c, l, kindHandOver, newWireHandOver(q, time.Now()))
+}
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -52,12 +52,12 @@
 
 // Activate implements lavenderridge.Peer.
 func (l *link) Activate(c context.Context, q *lavenderridge.ActivationRequest) (*lavenderridge.ActivationReply, error) {
-	return ask[lavenderridge.ActivationReply](c, l, kindActivate, q)
+	return l.activate(c, q)
 }
 
 // HandOver implements lavenderridge.Peer.
 func (l *link) HandOver(c context.Context, q *lavenderridge.HandOver) (*lavenderridge.HandOverReply, error) {
-	return ask[lavenderridge.HandOverReply](c, l, kindHandOver, q)
+	return l.handOver(c, q)
 }
 
 func ask[T any](c context.Context, l *link, k kind, q any) (*T, error) {
--- a/internal/transport/peerquic/server.go
+++ b/internal/transport/peerquic/server.go
@@ -94,9 +94,9 @@
 	case kindPull:
 		return answer(c, b, i, s.peer.Pull, func(q *lavenderridge.PullRequest) *lavenderridge.Sender { return &q.Sender })
 	case kindActivate:
-		return answer(c, b, i, s.peer.Activate, func(q *lavenderridge.ActivationRequest) *lavenderridge.Sender { return &q.Sender })
+		return answer(c, b, i, s.activate, func(q *lavenderridge.ActivationRequest) *lavenderridge.Sender { return &q.Sender })
 	case kindHandOver:
-		return answer(c, b, i, s.peer.HandOver, func(q *lavenderridge.HandOver) *lavenderridge.Sender { return &q.Sender })
+		return answer(c, b, i, s.handOver, func(q *wireHandOver) *lavenderridge.Sender { return &q.HandOver.Sender })
 	default:
 		return nil, notRun(fmt.Sprintf("unknown call %d", k))
 	}
