--- a/internal/cmd/lavenderridge/trycmd_test.go
+++ b/internal/cmd/lavenderridge/trycmd_test.go
@@ -14,7 +14,7 @@
 	if n := lavenderridge.Run([]string{"try"}, &w, &x); n != 0 {
 		t.Fatalf("exit code %d\n%s%s", n, &w, &x)
 	}
-	if n := strings.Count(w.String(), "kept\n"); n != 8 {
-		t.Errorf("%d steps kept; want 8\n%s", n, &w)
+	if n := strings.Count(w.String(), "kept\n"); n != 10 {
+		t.Errorf("%d steps kept; want 10\n%s", n, &w)
 	}
 }
--- a/internal/daemon/assembly/entry_test.go
+++ b/internal/daemon/assembly/entry_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,19 +60,7 @@
 // TestDisconnectCancels checks that a caller's disconnect ends the request at
 // the backend server of another data centre.
 func TestDisconnectCancels(t *testing.T) {
-	var begun, ended atomic.Int64
-	b := func(lavenderridge.Instance) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			if q.URL.Path == "/healthz" {
-				_, _ = io.WriteString(w, `{"Ready":true}`)
-				return
-			}
-			begun.Add(1)
-			<-q.Context().Done()
-			ended.Add(1)
-		})
-	}
-	m := startMesh(t, mesh.WithReplicas(1), mesh.WithBackend(b), mesh.WithCatalogue(func(k *lavenderridge.Catalogue) {
+	m := startMesh(t, mesh.WithReplicas(1), mesh.WithServiceTime(time.Minute), mesh.WithCatalogue(func(k *lavenderridge.Catalogue) {
 		k.DataCentres[0].State = lavenderridge.OutOfService
 		for i := range k.Entries {
 			k.Entries[i].Timeout = time.Minute
@@ -82,9 +69,22 @@
 	c, f := context.WithCancel(context.Background())
 	defer f()
 	go func() { _, _, _ = get(c, m.Members[0].Caller(), "/roster/read") }()
-	until(t, 5*time.Second, func() bool { return begun.Load() == 1 })
+	until(t, 5*time.Second, func() bool { return recorded(m, backendserver.RunBegun) == 1 })
 	f()
-	until(t, 2*time.Second, func() bool { return ended.Load() == 1 })
+	until(t, 2*time.Second, func() bool { return recorded(m, backendserver.RunCut) == 1 })
+}
+
+// recorded counts the runs that are in the state s at the backend servers.
+func recorded(m *mesh.Mesh, s backendserver.RunState) int {
+	n := 0
+	for _, i := range m.Members {
+		for _, r := range i.Backend.Record() {
+			if r.State == s {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 func until(t *testing.T, d time.Duration, f func() bool) {
@@ -182,7 +182,7 @@
 	n := 0
 	for _, i := range m.Members {
 		if i.Instance.DataCentre == d {
-			n += len(i.Backend.(*backendserver.Server).Runs())
+			n += len(i.Backend.Runs())
 		}
 	}
 	return n
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -34,7 +34,7 @@
 	t := d.clock.Now()
 	r, g, p := newRouting(d)
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler)
-	a := caller.NewRetryHandler(p, d.clock, f)
+	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), callerpolicy.NewShedder(t, nil), d.clock, a)
 	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
 	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -8,18 +8,22 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
 )
 
-// A RetryHandler makes the attempts of a request that its policy allows.
+// A RetryHandler makes the attempts of a request that its policy allows. Each
+// attempt uses one snapshot from its beginning to its end, and the latest one
+// when it begins: a target that refuses because it holds a later version would
+// refuse the same attempt again.
 type RetryHandler struct {
-	policy *caller.RetryPolicy
-	clock  lavenderridge.Clock
-	next   Attempter
+	policy    *caller.RetryPolicy
+	snapshots lavenderridge.SnapshotSource
+	clock     lavenderridge.Clock
+	next      Attempter
 }
 
 var _ SnapshotHandler = (*RetryHandler)(nil)
 
 // NewRetryHandler returns a handler that makes attempts with n by the policy p.
-func NewRetryHandler(p *caller.RetryPolicy, k lavenderridge.Clock, n Attempter) *RetryHandler {
-	return &RetryHandler{policy: p, clock: k, next: n}
+func NewRetryHandler(p *caller.RetryPolicy, s lavenderridge.SnapshotSource, k lavenderridge.Clock, n Attempter) *RetryHandler {
+	return &RetryHandler{policy: p, snapshots: s, clock: k, next: n}
 }
 
 // HandleIn implements SnapshotHandler.
@@ -45,9 +49,18 @@
 			return nil, a.Conclude(r, f)
 		}
 		x = append(x, n)
+		s = h.latest(s, r.Service)
 	}
 }
 
+// latest returns the snapshot in force, or s when that lacks the service d.
+func (h *RetryHandler) latest(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *lavenderridge.Snapshot {
+	if n := h.snapshots.Snapshot(); n != nil && n.Service(d) != nil {
+		return n
+	}
+	return s
+}
+
 // sleep waits for the time d and reports whether c still goes on.
 func sleep(c context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -36,7 +37,7 @@
 	p := callerpolicy.NewRetryPolicy(callerpolicy.WithJitter(func() float64 { return 0 }))
 	self := func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a", DataCentre: "dc-0"} }
 	f := caller.NewForwardHandler(r, r, peerpolicy.NewHomeRouter(), s, s, self, target{s, "a"})
-	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, f))
+	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f))
 	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewObserveHandler(s, s, "dc-0", l))
 	return s
 }
@@ -84,6 +85,10 @@
 		a, s.answers[n.instance] = f, rest
 	}
 	s.attempts = append(s.attempts, fmt.Sprintf("attempt %d at %s: %s", r.Attempt, n.instance, a))
+	if a == "overtaken" {
+		s.takeOut(s.snapshot.Instance(n.instance).DataCentre)
+		a = "target:NotRun:OutOfService"
+	}
 	p := &lavenderridge.Response{ID: r.ID, Attempt: r.Attempt, Status: 200, Sender: lavenderridge.Sender{Instance: n.instance}}
 	if w := strings.Split(a, ":"); len(w) == 3 {
 		f := lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.Reason(w[2]), "scripted")
@@ -106,6 +111,18 @@
 	return p, nil
 }
 
+// takeOut takes the data centre d out of service, as a target does whose
+// daemon learns of the new catalogue while it has the request.
+func (s *session) takeOut(d lavenderridge.DataCentreID) {
+	s.catalogue.DataCentres = slices.Clone(s.catalogue.DataCentres)
+	for i := range s.catalogue.DataCentres {
+		if s.catalogue.DataCentres[i].ID == d {
+			s.catalogue.DataCentres[i].State = lavenderridge.OutOfService
+		}
+	}
+	s.publish()
+}
+
 func (s *session) publish() {
 	s.version++
 	v := lavenderridge.Stamp{Version: s.version}
--- a/internal/standin/mesh/member.go
+++ b/internal/standin/mesh/member.go
@@ -2,25 +2,21 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 )
 
 // A Member is one instance of a mesh: its backend server and, while it runs,
 // its daemon.
 type Member struct {
 	Instance lavenderridge.Instance
-	// Backend is the handler of the instance's backend server.
-	Backend http.Handler
-	Daemon  *assembly.Daemon
+	Backend  *backendserver.Server
+	Daemon   *assembly.Daemon
 
-	server *httptest.Server
-	stop   context.CancelFunc
-	done   chan error
+	stop context.CancelFunc
+	done chan error
 }
 
 // Caller returns the address at which the member answers callers.
@@ -28,11 +24,6 @@
 	return m.Daemon.CallerAddress()
 }
 
-// BackendAddress returns where the member's backend server answers.
-func (m *Member) BackendAddress() lavenderridge.Address {
-	return lavenderridge.Address(strings.TrimPrefix(m.server.URL, "http://"))
-}
-
 // Stop ends the member's daemon gracefully and returns its error.
 func (m *Member) Stop() error {
 	if m.stop == nil {
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/standin/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/transport/cataloguetoml"
@@ -51,7 +51,7 @@
 	replicas    int
 	serviceTime time.Duration
 	change      func(*lavenderridge.Catalogue)
-	backend     func(lavenderridge.Instance) http.Handler
+	backend     func(lavenderridge.Instance) *backendserver.Server
 	configure   func(*assembly.Config)
 	log         *zap.Logger
 	authority   *peertls.Authority
@@ -70,7 +70,7 @@
 		log:         zap.NewNop(),
 		Source:      configservice.NewServer(0),
 	}
-	m.backend = func(n lavenderridge.Instance) http.Handler {
+	m.backend = func(n lavenderridge.Instance) *backendserver.Server {
 		return backendserver.NewServer(n.ID, slots, m.serviceTime)
 	}
 	for _, f := range o {
@@ -144,7 +144,10 @@
 					DataCentre: d, Service: s, Peer: a, State: lavenderridge.InstanceLive,
 				}
 				b := m.backend(n)
-				m.Members = append(m.Members, &Member{Instance: n, Backend: b, server: httptest.NewServer(b)})
+				if e := b.Start(); e != nil {
+					return e
+				}
+				m.Members = append(m.Members, &Member{Instance: n, Backend: b})
 			}
 		}
 	}
@@ -169,7 +172,7 @@
 	}
 	f := assembly.Config{
 		Instance: n.Instance.ID, DataCentre: n.Instance.DataCentre, Service: n.Instance.Service,
-		ConfigService: m.sourceAddress(), Backend: n.BackendAddress(), Connections: connections,
+		ConfigService: m.sourceAddress(), Backend: n.Backend.Address(), Connections: connections,
 		Caller: loopback, Peer: n.Instance.Peer, Operator: loopback,
 		MaxBody: maxBody, StopTimeout: stopTimeout,
 	}
@@ -223,6 +226,26 @@
 	return m.Publish()
 }
 
+// WaitReady returns when every running daemon may take work and is active as a
+// home, and keys that are issued from then on can be told from those of before.
+func (m *Mesh) WaitReady(c context.Context) error {
+	e := m.Wait(c, func(d *assembly.Daemon) bool {
+		s := d.Status()
+		return s.Ready && s.Home.Active
+	})
+	if e != nil {
+		return e
+	}
+	t := time.NewTimer(peer.DefaultSkew)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-c.Done():
+		return fmt.Errorf("mesh: wait: %w", c.Err())
+	}
+}
+
 // Wait returns when f holds for every running daemon, or with an error when c
 // ends first.
 func (m *Mesh) Wait(c context.Context, f func(*assembly.Daemon) bool) error {
@@ -247,7 +270,7 @@
 	for i, n := range m.Members {
 		go func() {
 			a[i] = n.Stop()
-			n.server.Close()
+			n.Backend.Close()
 			f <- struct{}{}
 		}()
 	}
--- a/internal/standin/mesh/option.go
+++ b/internal/standin/mesh/option.go
@@ -1,13 +1,13 @@
 package mesh
 
 import (
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 )
 
 // An Option changes a Mesh.
@@ -40,8 +40,8 @@
 	return func(m *Mesh) { m.serviceTime = d }
 }
 
-// WithBackend makes f give the handler of each instance's backend server.
-func WithBackend(f func(lavenderridge.Instance) http.Handler) Option {
+// WithBackend makes f give each instance's backend server, not yet started.
+func WithBackend(f func(lavenderridge.Instance) *backendserver.Server) Option {
 	return func(m *Mesh) { m.backend = f }
 }
 
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -8,7 +8,6 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/load/caller"
-	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
 )
 
@@ -65,6 +64,7 @@
 	t.result.Load = <-f
 	t.checkLoad()
 	t.checkRuns()
+	t.checkKeys()
 	t.checkStop()
 	return &t.result, c.Err()
 }
@@ -97,6 +97,10 @@
 		return e
 	}
 	t.add(Step{Name: "start", Seen: fmt.Sprintf("%d daemons in 2 data centres ready after %s", len(t.mesh.Members), since(s)), Took: time.Since(s)})
+	if e := t.mesh.WaitReady(c); e != nil {
+		return e
+	}
+	t.add(Step{Name: "homes", Seen: "take payments after " + since(s), Took: time.Since(s)})
 	return nil
 }
 
@@ -170,7 +174,7 @@
 func (t *Trial) checkRuns() {
 	p := 0
 	for _, m := range t.mesh.Members {
-		p = max(p, int(backend(m).Peak()))
+		p = max(p, int(m.Backend.Peak()))
 	}
 	s := Step{Name: "backend servers", Seen: fmt.Sprintf("at most %d requests at once at one backend server", p)}
 	if l := int(t.mesh.Catalogue.Services[0].Slots); p > l {
@@ -179,6 +183,27 @@
 	t.add(s)
 }
 
+// checkKeys checks by the backend servers' own records that no key ran twice.
+func (t *Trial) checkKeys() {
+	n := map[lavenderridge.IdempotencyKey]int{}
+	w := 0
+	for _, m := range t.mesh.Members {
+		for _, r := range m.Backend.Record() {
+			if r.Key == "" {
+				continue
+			}
+			if n[r.Key]++; n[r.Key] == 2 {
+				w++
+			}
+		}
+	}
+	s := Step{Name: "payments", Seen: fmt.Sprintf("%d keys ran, %d of them were sent twice", len(n), t.result.Load.Resent)}
+	if w > 0 {
+		s.Broken = fmt.Sprintf("%d keys ran more than once", w)
+	}
+	t.add(s)
+}
+
 func (t *Trial) checkStop() {
 	s := Step{Name: "stop"}
 	b := time.Now()
@@ -194,7 +219,7 @@
 	n := 0
 	for _, m := range t.mesh.Members {
 		if m.Instance.DataCentre == d {
-			for _, v := range backend(m).Runs() {
+			for _, v := range m.Backend.Runs() {
 				n += v
 			}
 		}
@@ -206,10 +231,6 @@
 	t.result.Steps = append(t.result.Steps, s)
 }
 
-func backend(m *mesh.Member) *backendserver.Server {
-	return m.Backend.(*backendserver.Server)
-}
-
 func since(t time.Time) string {
 	return time.Since(t).Round(100 * time.Microsecond).String()
 }
