--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -24,6 +24,8 @@
 	maxStopTimeout     = 10 * time.Minute
 	defaultConnections = 130
 	maxConnections     = 100_000
+	defaultFleetSize   = 500
+	maxFleetSize       = 100_000
 	defaultDecisions   = 4096
 	maxDecisions       = 1 << 20
 	defaultReload      = 10 * time.Second
@@ -110,6 +112,7 @@
 	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
 	d.StopTimeout = r.duration("Limits.StopTimeout", defaultStopTimeout, minStopTimeout, maxStopTimeout)
 	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
+	d.FleetSize = r.count("ConfigService.FleetSize", defaultFleetSize, 1, maxFleetSize)
 }
 
 func (s *Settings) readKeys(r *reader) {
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -30,4 +30,17 @@
 	// PlainRouting takes targets in turn without retries, as the baseline of
 	// measurements.
 	PlainRouting bool
+	// FleetSize is the number of daemons that are assumed to start at once
+	// while no instance list is known; zero means 500.
+	FleetSize int
+}
+
+// defaultFleetSize spreads the first reads of a fleet over a second.
+const defaultFleetSize = 500
+
+func (f *Config) fleetSize() int {
+	if f.FleetSize > 0 {
+		return f.FleetSize
+	}
+	return defaultFleetSize
 }
--- a/internal/transport/peerquic/message.go
+++ b/internal/transport/peerquic/message.go
@@ -128,8 +128,8 @@
 	maxNesting  = 16
 )
 
-// decoder refuses forms that the encoder never makes.
-var decoder = newDecoder()
+// cborDecoder refuses forms that the encoder never makes.
+var cborDecoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
 	d, e := cbor.DecOptions{
@@ -146,7 +146,7 @@
 }
 
 func encode(k byte, v any) ([]byte, error) {
-	b, e := cbor.Marshal(v)
+	b, e := cbor.Marshal(compact(v))
 	if e != nil {
 		return nil, fmt.Errorf("peerquic: encode: %w", e)
 	}
@@ -154,7 +154,7 @@
 }
 
 func decode(b []byte, v any) error {
-	if e := decoder.Unmarshal(b, v); e != nil {
+	if e := decodeCompact(b, v); e != nil {
 		return fmt.Errorf("peerquic: decode: %w", e)
 	}
 	return nil
--- a/internal/transport/peerquic/transport.go
+++ b/internal/transport/peerquic/transport.go
@@ -42,6 +42,7 @@
 	silence    time.Duration
 	registry   metrics.Registry
 	counters   counters
+	traffic    Traffic
 	start      time.Time
 	dials      *semaphore.Weighted
 	links      sync.Map // of lavenderridge.InstanceID to *link
@@ -68,10 +69,10 @@
 		return nil, fmt.Errorf("peerquic: %w", e)
 	}
 	t := &Transport{
-		quic: &quic.Transport{Conn: s, StatelessResetKey: r}, keys: k,
-		maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
+		keys: k, maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
+	t.quic = &quic.Transport{Conn: newCountingConn(s, &t.traffic), StatelessResetKey: r}
 	for _, f := range o {
 		f(t)
 	}
