--- a/internal/cmd/lavenderridge/statuscmd.go
+++ b/internal/cmd/lavenderridge/statuscmd.go
@@ -39,20 +39,41 @@
 		return errors.Join(printJSON(s.out, a), x)
 	}
 	t := newTable(s.out)
-	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSERVICE\tSTATE\tCATALOGUE\tINSTANCES\tACCEPTED\tIN FLIGHT\tKEYS UNTIL")
+	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSERVICE\tSTATE\tCATALOGUE\tINSTANCES\tACCEPTED\tSOURCE AGE\tIN FLIGHT\tKEYS UNTIL")
 	for _, v := range a {
 		if v.Error == "" {
 			printStatus(t, &v.Value)
 		}
 	}
-	return errors.Join(t.Flush(), x)
+	if e := t.Flush(); e != nil {
+		return errors.Join(e, x)
+	}
+	for _, v := range a {
+		printRejections(s.out, &v.Value)
+	}
+	return x
+}
+
+// printRejections prints the versions that the daemon did not accept of late,
+// with every finding.
+func printRejections(w io.Writer, s *operatorhttp.Status) {
+	for _, r := range s.Rejections {
+		k := "rejected"
+		if r.Conflict {
+			k = "in force with another digest"
+		}
+		_, _ = fmt.Fprintf(w, "\n%s: %s version %d from %s at %s: %s\n", s.Instance, r.Document, r.Version, r.Origin, formatTime(r.Time), k)
+		for _, f := range r.Findings {
+			_, _ = fmt.Fprintf(w, "  %s\n", f)
+		}
+	}
 }
 
 func printStatus(w io.Writer, s *operatorhttp.Status) {
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%d/%d\t%s\n",
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%s\t%d/%d\t%s\n",
 		s.Instance, s.DataCentre, s.Service, stateOf(s),
 		s.Versions.Catalogue, s.CatalogueDigest, s.Versions.InstanceList, s.InstanceListDigest,
-		formatTime(s.AcceptedAt), s.Load.InFlight, s.Load.Limit, formatTime(s.KeysNotAfter))
+		formatTime(s.AcceptedAt), s.SourceAge.Round(time.Second), s.Load.InFlight, s.Load.Limit, formatTime(s.KeysNotAfter))
 }
 
 func stateOf(s *operatorhttp.Status) string {
