--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -111,8 +111,8 @@
 	d.Connections = lavenderridge.Connections(r.count("Backend.Connections", defaultConnections, 1, maxConnections))
 	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
 	d.StopTimeout = r.duration("Limits.StopTimeout", defaultStopTimeout, minStopTimeout, maxStopTimeout)
-	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 	d.FleetSize = r.count("ConfigService.FleetSize", defaultFleetSize, 1, maxFleetSize)
+	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 }
 
 func (s *Settings) readKeys(r *reader) {
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -86,9 +86,11 @@
 	g.Go(func() error { return d.configuration.run(p) })
 	g.Go(func() error { return d.operator.run(p) })
 	g.Go(func() error { return d.owner.owner.Run(p) })
+	g.Go(func() error { return d.home.run(p) })
 	g.Go(func() error { return d.server.Serve(p) })
 	g.Go(func() error {
 		defer f()
+		defer d.home.stop(c, d.config.StopTimeout)
 		return d.serveCallers(c)
 	})
 	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
@@ -113,12 +115,13 @@
 		Incarnation: d.incarnation, Load: d.owner.load(), Leaving: d.owner.leaving(),
 		Ready: d.configuration.Ready(d.clock.Now()) == nil,
 	}
+	s.Home = d.home.homes.Status()
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
-	d.records.fill(&s)
 	d.configuration.status(&s)
+	d.records.fill(&s)
 	return s
 }
 
--- a/internal/transport/peerquic/countingconn.go
+++ b/internal/transport/peerquic/countingconn.go
@@ -11,8 +11,8 @@
 	traffic *Traffic
 }
 
-func newCountingConn(s *net.UDPConn, f *Traffic) *countingConn {
-	return &countingConn{UDPConn: s, traffic: f}
+func newCountingConn(s *net.UDPConn, c *Traffic) *countingConn {
+	return &countingConn{UDPConn: s, traffic: c}
 }
 
 // WriteMsgUDP implements quic.OOBCapablePacketConn.
--- a/internal/transport/peerquic/traffic.go
+++ b/internal/transport/peerquic/traffic.go
@@ -14,33 +14,33 @@
 	packets atomic.Int64
 }
 
-// Traffic returns the counts of what the transport carried.
+// Traffic returns the traffic of the transport.
 func (t *Transport) Traffic() *Traffic {
 	return &t.traffic
 }
 
 // call counts one call that this daemon made.
-func (f *Traffic) call(k kind, q, p int) {
-	if int(k) < len(f.calls) {
-		f.calls[k].Add(1)
-		f.payload[k].Add(int64(q + p))
+func (c *Traffic) call(k kind, q, p int) {
+	if int(k) < len(c.calls) {
+		c.calls[k].Add(1)
+		c.payload[k].Add(int64(q + p))
 	}
 }
 
 // Exchanges returns the number of exchanges that this daemon asked for and the
 // bytes of their questions and replies.
-func (f *Traffic) Exchanges() (int64, lavenderridge.ByteCount) {
-	return f.calls[kindExchange].Load(), lavenderridge.ByteCount(f.payload[kindExchange].Load())
+func (c *Traffic) Exchanges() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindExchange].Load(), lavenderridge.ByteCount(c.payload[kindExchange].Load())
 }
 
 // Pulls returns the number of pulls that this daemon asked for and the bytes
 // of their questions and replies.
-func (f *Traffic) Pulls() (int64, lavenderridge.ByteCount) {
-	return f.calls[kindPull].Load(), lavenderridge.ByteCount(f.payload[kindPull].Load())
+func (c *Traffic) Pulls() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindPull].Load(), lavenderridge.ByteCount(c.payload[kindPull].Load())
 }
 
 // Datagrams returns the bytes of all UDP payloads sent and the number of write
 // calls, each of which may carry several packets.
-func (f *Traffic) Datagrams() (lavenderridge.ByteCount, int64) {
-	return lavenderridge.ByteCount(f.sent.Load()), f.packets.Load()
+func (c *Traffic) Datagrams() (lavenderridge.ByteCount, int64) {
+	return lavenderridge.ByteCount(c.sent.Load()), c.packets.Load()
 }
--- a/internal/transport/peerquic/transport.go
+++ b/internal/transport/peerquic/transport.go
@@ -69,7 +69,8 @@
 		return nil, fmt.Errorf("peerquic: %w", e)
 	}
 	t := &Transport{
-		keys: k, maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
+		keys:       k,
+		maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
 	t.quic = &quic.Transport{Conn: newCountingConn(s, &t.traffic), StatelessResetKey: r}
@@ -172,7 +173,7 @@
 	if e != nil {
 		return nil, e
 	}
-	r := &quic.Transport{Conn: s}
+	r := &quic.Transport{Conn: newCountingConn(s, &t.traffic)}
 	n, e := r.Dial(c, u, k, q)
 	if e != nil {
 		return nil, errors.Join(e, r.Close(), s.Close())
