Explain refused requests by their request ID

A caller's refused request left no trace that an operator could ask for.

Free addresses in the tests now lie below the ports that the system gives to outgoing connections; TestFreezeAndThaw had failed once with 'address already in use' on a port that the test had just found free.

--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -88,22 +89,28 @@
 	return p
 }
 
+// freeAddress returns an address that nothing listens on. Its port is below
+// those that the system gives to outgoing connections, one of which might
+// otherwise take it before the process that it is for.
 func freeAddress(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		c, e := net.ListenPacket("udp", "127.0.0.1:0")
-		if e != nil {
-			t.Fatal(e)
+	const lowest, highest, tries = 12000, 32000, 100
+	for range tries {
+		a := fmt.Sprintf("127.0.0.1:%d", lowest+rand.N(highest-lowest))
+		var c io.Closer
+		var e error
+		if network == "udp" {
+			c, e = net.ListenPacket(network, a)
+		} else {
+			c, e = net.Listen(network, a)
+		}
+		if e == nil {
+			_ = c.Close()
+			return a
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	l, e := net.Listen("tcp", "127.0.0.1:0")
-	if e != nil {
-		t.Fatal(e)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
 func startProcess(t *testing.T, binary, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -20,7 +20,7 @@
 
 // operatorRecords is what the daemon keeps for operators.
 type operatorRecords struct {
-	ring      *operator.DecisionRing
+	journal   *operator.Journal
 	burn      *operator.BurnCounter
 	keys      *peertls.Keys
 	startedAt time.Time
@@ -34,10 +34,10 @@
 		n = defaultDecisions
 	}
 	r := &operatorRecords{
-		ring: operator.NewDecisionRing(n), burn: operator.NewBurnCounter(), keys: k, startedAt: d.clock.Now(),
+		journal: operator.NewJournal(n), burn: operator.NewBurnCounter(), keys: k, startedAt: d.clock.Now(),
 	}
-	d.recorder = r.ring
-	d.observer = operator.Observers{r.burn, operator.NewRequestMetrics(d.metrics)}
+	d.recorder = r.journal
+	d.observer = operator.Observers{r.burn, r.journal, operator.NewRequestMetrics(d.metrics)}
 	r.register(d)
 	return r
 }
@@ -47,7 +47,7 @@
 	operator.RegisterProcessMetrics(d.metrics)
 	m := d.metrics
 	metrics.NewRegisteredFunctionalGauge("KeysNotAfterSeconds", m, func() int64 { return r.keys.NotAfter().Unix() })
-	metrics.NewRegisteredFunctionalGauge("DecisionsRecorded", m, func() int64 { return int64(r.ring.Recorded()) })
+	metrics.NewRegisteredFunctionalGauge("DecisionsRecorded", m, func() int64 { return int64(r.journal.Recorded()) })
 	metrics.NewRegisteredFunctionalGauge("BurnObservationsDropped", m, func() int64 { return int64(r.burn.Dropped()) })
 	metrics.NewRegisteredFunctionalGauge("StartedAtSeconds", m, r.startedAt.Unix)
 	r.registerStatus(d)
@@ -101,7 +101,7 @@
 	p.server = operatorhttp.NewServer(l, d.Status,
 		operatorhttp.WithMetrics(d.metrics),
 		operatorhttp.WithDecisions(func(q operatorhttp.DecisionQuery) []lavenderridge.Decision {
-			return r.ring.Decisions(q.Limit, q.Match)
+			return r.journal.Decisions(q.Limit, q.Match)
 		}),
 		operatorhttp.WithBurn(func() operatorhttp.Burn {
 			t := d.clock.Now()
--- a/internal/daemon/caller/observehandler.go
+++ b/internal/daemon/caller/observehandler.go
@@ -28,7 +28,9 @@
 	b := h.clock.Now()
 	p, v := h.next.HandleIn(c, s, e, r)
 	t := h.clock.Now()
-	o := lavenderridge.Observation{Time: t, Entry: e.ID, DataCentre: h.dataCentre, Latency: t.Sub(b)}
+	o := lavenderridge.Observation{
+		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b),
+	}
 	if v != nil {
 		o.Refusal = lavenderridge.AsRefusal(v)
 	} else {
--- a/observation.go
+++ b/observation.go
@@ -5,10 +5,14 @@
 // An Observation is the outcome of one caller's request at the daemon that the
 // caller met.
 type Observation struct {
-	Time       time.Time
-	Entry      EntryID
+	Time    time.Time
+	Request RequestID
+	Entry   EntryID
+	// DataCentre is that of the daemon that the caller met.
 	DataCentre DataCentreID
-	Latency    time.Duration
+	// Versions are those of the snapshot under which the request ran.
+	Versions Versions
+	Latency  time.Duration
 	// Good tells that the request met its entry's objective.
 	Good bool
 	// Refusal is nil when the request got a response.
