--- a/internal/cmd/lavenderridge/configuration_test.go
+++ b/internal/cmd/lavenderridge/configuration_test.go
@@ -49,7 +49,11 @@
 		p := prepareProcess(t, strings.TrimPrefix(h.URL, "http://"), a, v)
 		p.start(t, f.binary)
 		f.all = append(f.all, p)
-		t.Cleanup(p.kill)
+		t.Cleanup(func() {
+			if !p.ended {
+				p.kill(t)
+			}
+		})
 	}
 	f.await(t, f.all, 1)
 	return f
@@ -80,11 +84,6 @@
 	return s, e
 }
 
-func (p *process) kill() {
-	_ = p.command.Process.Signal(syscall.SIGKILL)
-	_ = p.command.Wait()
-}
-
 // TestKilledDuringOutage kills a daemon while the source is down. Its
 // replacement holds nothing and has the version in force from a neighbour.
 func TestKilledDuringOutage(t *testing.T) {
@@ -92,7 +91,7 @@
 	v := f.publish(lavenderridge.InService)
 	f.await(t, f.all, v)
 	f.source.SetDown(true)
-	f.all[0].kill()
+	f.all[0].kill(t)
 	f.all[0].start(t, f.binary)
 	f.await(t, f.all, v)
 	s, e := f.all[0].status()
@@ -136,7 +135,7 @@
 	f.await(t, f.all, v)
 	n, _ := f.source.Calls()
 	for _, p := range f.all {
-		p.kill()
+		p.kill(t)
 	}
 	for _, p := range f.all {
 		p.start(t, f.binary)
--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -59,6 +60,24 @@
 	caller   string
 	operator string
 	output   *bytes.Buffer
+	ended    bool
+}
+
+// stop ends the daemon by SIGTERM.
+func (p *process) stop() error {
+	p.ended = true
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	return p.command.Wait()
+}
+
+// kill ends the daemon at once.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.ended = true
+	if e := p.command.Process.Kill(); e != nil {
+		t.Fatal(e)
+	}
+	_ = p.command.Wait()
 }
 
 func buildBinary(t *testing.T) string {
@@ -71,22 +90,28 @@
 	return p
 }
 
+// freeAddress returns an address that nothing listens on. Its port is below
+// those that the system gives to outgoing connections, one of which might
+// otherwise take it before the process that it is for.
 func freeAddress(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		c, e := net.ListenPacket("udp", "127.0.0.1:0")
-		if e != nil {
-			t.Fatal(e)
+	const lowest, highest, tries = 12000, 32000, 100
+	for range tries {
+		a := fmt.Sprintf("127.0.0.1:%d", lowest+rand.N(highest-lowest))
+		var c io.Closer
+		var e error
+		if network == "udp" {
+			c, e = net.ListenPacket(network, a)
+		} else {
+			c, e = net.Listen(network, a)
+		}
+		if e == nil {
+			_ = c.Close()
+			return a
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
-	}
-	l, e := net.Listen("tcp", "127.0.0.1:0")
-	if e != nil {
-		t.Fatal(e)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
 func startProcess(t *testing.T, binary, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
@@ -94,8 +119,10 @@
 	p := prepareProcess(t, source, a, n)
 	p.start(t, binary)
 	t.Cleanup(func() {
-		_ = p.command.Process.Signal(syscall.SIGTERM)
-		if e := p.command.Wait(); e != nil {
+		if p.ended {
+			return
+		}
+		if e := p.stop(); e != nil {
 			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
 		}
 	})
@@ -104,6 +131,7 @@
 
 func (p *process) start(t *testing.T, binary string) {
 	t.Helper()
+	p.ended = false
 	p.command = exec.Command(binary, "serve", p.settings)
 	p.command.Stdout, p.command.Stderr = p.output, p.output
 	if e := p.command.Start(); e != nil {
@@ -130,11 +158,13 @@
 		return p
 	}
 	b := backendserver.NewServer(n.ID, 10, 2*time.Millisecond)
-	h := httptest.NewServer(b)
-	t.Cleanup(h.Close)
+	if e := b.Start(); e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(b.Close)
 	p := &process{instance: n, backend: b, caller: freeAddress(t, "tcp"), operator: freeAddress(t, "tcp"), output: &bytes.Buffer{}}
 	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
-		n.ID, n.DataCentre, n.Service, source, strings.TrimPrefix(h.URL, "http://"), p.caller, n.Peer, p.operator,
+		n.ID, n.DataCentre, n.Service, source, b.Address(), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
 	p.settings = write("settings.toml", []byte(s))
 	return p
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -22,10 +24,10 @@
 	maxStopTimeout     = 10 * time.Minute
 	defaultConnections = 130
 	maxConnections     = 100_000
+	defaultFleetSize   = 500
+	maxFleetSize       = 100_000
 	defaultDecisions   = 4096
 	maxDecisions       = 1 << 20
-	defaultFleetSize   = 500
-	maxFleetSize       = 1 << 20
 	defaultReload      = 10 * time.Second
 	minReload          = 100 * time.Millisecond
 	maxReload          = time.Hour
@@ -72,13 +74,17 @@
 		return nil, f
 	}
 	s := &Settings{reader: r}
+	s.read(r)
+	r.unknown()
+	return s, r.sorted()
+}
+
+func (s *Settings) read(r *reader) {
 	s.readIdentity(r)
 	s.readAddresses(r)
 	s.readLimits(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
-	r.unknown()
-	return s, r.sorted()
 }
 
 func (s *Settings) readIdentity(r *reader) {
@@ -143,6 +149,12 @@
 	return r.sorted()
 }
 
+// OperatorIsLoopback reports whether only this machine reaches the operator
+// address.
+func (s *Settings) OperatorIsLoopback() bool {
+	return isLoopback(s.Daemon.Operator)
+}
+
 // Keys loads the certificate files.
 func (s *Settings) Keys() (*peertls.Keys, error) {
 	k, e := s.Daemon.KeyFiles.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
@@ -168,3 +180,11 @@
 	}
 	return filepath.Join(filepath.Dir(f), p)
 }
+
+// Names returns the key path of every setting, sorted.
+func Names() []string {
+	r, _ := newReader("", nil)
+	s := &Settings{reader: r}
+	s.read(r)
+	return slices.Sorted(maps.Keys(r.used))
+}
--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -102,9 +102,14 @@
 	return func(s *Spreader) { s.recorder = r }
 }
 
-// WithCounters makes a spreader count its calls in r.
+// WithCounters makes a spreader count its calls in r, from zero.
 func WithCounters(r metrics.Registry) func(*Spreader) {
-	return func(s *Spreader) { s.counters = r }
+	return func(s *Spreader) {
+		s.counters = r
+		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterPullDelta, CounterPullWhole} {
+			metrics.GetOrRegisterCounter(n, r)
+		}
+	}
 }
 
 // Run spreads versions until c ends.
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -23,6 +23,8 @@
 	InstanceListDigest string
 	AcceptedAt         time.Time
 	Load               lavenderridge.Load
+	// Home tells which keyed requests the daemon may run.
+	Home lavenderridge.HomeStatus
 	// KeysNotAfter is when the daemon's certificate expires.
 	KeysNotAfter time.Time
 	// PeersRefused counts the handshakes with other daemons that were refused.
--- a/internal/transport/peerquic/compact.go
+++ b/internal/transport/peerquic/compact.go
@@ -89,13 +89,13 @@
 	case *lavenderridge.PullReply:
 		return decodeInto(b, q, (*wirePullReply).reply)
 	default:
-		return decoder.Unmarshal(b, v)
+		return cborDecoder.Unmarshal(b, v)
 	}
 }
 
 func decodeInto[W, V any](b []byte, v *V, f func(*W) (V, error)) error {
 	var w W
-	if e := decoder.Unmarshal(b, &w); e != nil {
+	if e := cborDecoder.Unmarshal(b, &w); e != nil {
 		return e
 	}
 	r, e := f(&w)
--- a/internal/transport/peerquic/message.go
+++ b/internal/transport/peerquic/message.go
@@ -128,8 +128,8 @@
 	maxNesting  = 16
 )
 
-// decoder refuses forms that the encoder never makes.
-var decoder = newDecoder()
+// cborDecoder refuses forms that the encoder never makes.
+var cborDecoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
 	d, e := cbor.DecOptions{
