--- a/internal/cmd/convergence/fleet.go
+++ b/internal/cmd/convergence/fleet.go
@@ -36,6 +36,7 @@
 	instances []lavenderridge.Instance
 	keys      []*peertls.Keys
 	daemons   []*assembly.Daemon
+	context   context.Context
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 	revision  int
@@ -82,6 +83,7 @@
 // lets all daemons run at once.
 func (f *fleet) start(c context.Context) error {
 	c, f.stop = context.WithCancel(c)
+	f.context = c
 	f.daemons = f.daemons[:0]
 	for i := range f.instances {
 		n := &f.instances[i]
@@ -133,7 +135,7 @@
 func (f *fleet) await(t time.Time, p func(*operatorhttp.Status) bool, g func(*operatorhttp.Status) time.Time) Latencies {
 	a := make([]time.Duration, 0, len(f.daemons))
 	k := make([]bool, len(f.daemons))
-	for time.Since(t) < convergeLimit && len(a) < len(f.daemons) {
+	for f.context.Err() == nil && time.Since(t) < convergeLimit && len(a) < len(f.daemons) {
 		time.Sleep(pollInterval)
 		for i, d := range f.daemons {
 			if k[i] {
--- a/internal/cmd/convergence/run.go
+++ b/internal/cmd/convergence/run.go
@@ -62,6 +62,9 @@
 	f.rest(c, r)
 	r.Heap, r.Resident = (heapBytes()-h)/float64(n), (residentBytes()-s)/float64(n)
 	r.ChangeBytes -= r.RestBytes * changePause.Seconds()
+	if c.Err() != nil {
+		return nil, c.Err()
+	}
 	return r, f.storm(c, r)
 }
 
@@ -85,6 +88,9 @@
 	var a, b []Latencies
 	u := f.usage()
 	for range f.plan.Changes {
+		if c.Err() != nil {
+			return c.Err()
+		}
 		for _, d := range []lavenderridge.DocumentName{lavenderridge.DocumentCatalogue, lavenderridge.DocumentInstanceList} {
 			t := time.Now()
 			v, e := f.publish(d)
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -108,5 +108,6 @@
 	s.Rejections = p.store.Rejections()
 	s.SourceAge = p.contact.Age(t)
 	s.OwnSourceAge = p.contact.OwnAge(t)
+	s.StartedAlone = p.spreader.StartedAlone()
 	s.Neighbours = p.neighbourhood.Neighbours(t)
 }
--- a/internal/daemon/peer/session_test.go
+++ b/internal/daemon/peer/session_test.go
@@ -98,7 +98,7 @@
 	var b strings.Builder
 	for _, n := range f.nodes {
 		for _, l := range f.log {
-			if strings.HasPrefix(l, string(n.self.ID)+".") && strings.HasSuffix(l, " gate") {
+			if strings.HasPrefix(l, string(n.self.ID)+".") && (strings.Contains(l, " Gate") || strings.Contains(l, " Started")) {
 				b.WriteString(l + "\n")
 			}
 		}
--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -58,6 +58,7 @@
 	limiter *peer.PullLimiter
 	wake    chan struct{}
 	told    atomic.Bool
+	alone   atomic.Bool
 }
 
 var _ Exchanger = (*Spreader)(nil)
--- a/internal/daemon/peer/spreadergate.go
+++ b/internal/daemon/peer/spreadergate.go
@@ -61,12 +61,19 @@
 	}
 	s.gate.Open(b, w, s.clock.Now())
 	if a == 0 {
+		s.alone.Store(true)
 		s.record("StartedFromSourceAlone", "no neighbour answered")
 		return
 	}
 	s.record("StartedWithNeighbours", "neighbours answered")
 }
 
+// StartedAlone reports whether no neighbour answered when the daemon started,
+// so that it went by the source alone.
+func (s *Spreader) StartedAlone() bool {
+	return s.alone.Load()
+}
+
 // ask exchanges versions with every neighbour. It returns the highest versions
 // and the number of answers.
 func (s *Spreader) ask(c context.Context) (lavenderridge.Versions, int) {
@@ -89,6 +96,6 @@
 func (s *Spreader) record(n, r string) {
 	s.log.Info(n, zap.String("Reason", r))
 	if s.recorder != nil {
-		s.recorder.Record(lavenderridge.Decision{Time: s.clock.Now(), Event: n, Subject: "gate", Reason: r, Versions: s.versions()})
+		s.recorder.Record(lavenderridge.Decision{Time: s.clock.Now(), Event: n, Subject: string(s.self().Instance), Reason: r, Versions: s.versions()})
 	}
 }
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -42,5 +42,8 @@
 	SourceAge time.Duration
 	// OwnSourceAge is the time since this daemon had one.
 	OwnSourceAge time.Duration
+	// StartedAlone tells that no neighbour answered when the daemon started, so
+	// that it went by the source alone.
+	StartedAlone bool
 	Neighbours   []lavenderridge.Neighbour
 }
