--- a/internal/daemon/configservice/reader.go
+++ b/internal/daemon/configservice/reader.go
@@ -88,8 +88,8 @@
 	f := 0
 	for c.Err() == nil && r.store.List() == nil {
 		p := configservice.PlanFirstRead(configservice.ReadState{Failures: f}, r.fleetSize, rand.Float64())
-		if !sleep(c, p.Delay) {
-			return
+		if !r.pause(c, p.Delay) {
+			continue
 		}
 		f++
 		if v, e := r.read(c, lavenderridge.DocumentInstanceList, 0, p.Wait); e == nil && v == 0 {
@@ -108,7 +108,7 @@
 			sleep(c, skipInterval)
 			continue
 		}
-		if !sleep(c, p.Delay) || p.Wait == 0 && configservice.PlanRead(r.state(d, b, f), 0).Skip {
+		if !r.pause(c, p.Delay) || p.Wait == 0 && configservice.PlanRead(r.state(d, b, f), 0).Skip {
 			continue
 		}
 		n, e := r.read(c, d, max(v, r.store.Acceptance(d).Stamp.Version), p.Wait)
@@ -161,6 +161,25 @@
 	return n, nil
 }
 
+// pause waits for d. It reports false when c ended or when a version came into
+// force meanwhile, so that the read is to be decided on again.
+func (r *Reader) pause(c context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return c.Err() == nil
+	}
+	f := r.store.Changed()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.Done():
+		return false
+	case <-f:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // sleep waits for d. It reports false when c ended.
 func sleep(c context.Context, d time.Duration) bool {
 	if d <= 0 {
