--- a/internal/cmd/lavenderridge/configuration_test.go
+++ b/internal/cmd/lavenderridge/configuration_test.go
@@ -49,11 +49,7 @@
 		p := prepareProcess(t, strings.TrimPrefix(h.URL, "http://"), a, v)
 		p.start(t, f.binary)
 		f.all = append(f.all, p)
-		t.Cleanup(func() {
-			if !p.ended {
-				p.kill(t)
-			}
-		})
+		t.Cleanup(func() { p.kill(t) })
 	}
 	f.await(t, f.all, 1)
 	return f
--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -73,9 +73,12 @@
 // kill ends the daemon at once.
 func (p *process) kill(t *testing.T) {
 	t.Helper()
+	if p.ended {
+		return
+	}
 	p.ended = true
 	if e := p.command.Process.Kill(); e != nil {
-		t.Fatal(e)
+		t.Error(e)
 	}
 	_ = p.command.Wait()
 }
@@ -129,6 +132,7 @@
 	return p
 }
 
+// start runs the daemon, for the first time or again.
 func (p *process) start(t *testing.T, binary string) {
 	t.Helper()
 	p.ended = false
