--- a/internal/cmd/convergence/documents.go
+++ b/internal/cmd/convergence/documents.go
@@ -47,17 +47,21 @@
 }
 
 // instances returns the text of a list with the live instances a and others up
-// to n. The number v changes the data of one that has no daemon.
+// to n. The number v changes the data of one that has no daemon. Those have
+// loopback addresses at which nobody listens, and belong to services of which
+// no daemon runs, because a home asks every listed instance of its service.
 func instances(a []lavenderridge.Instance, n, s, v int) ([]byte, error) {
 	l := &lavenderridge.InstanceList{Instances: append([]lavenderridge.Instance(nil), a...)}
+	b := min(len(a)/dataCentres+1, s-1)
 	for i := len(a); i < n; i++ {
 		p := 1 + i
 		if i == len(a)+v%max(1, n-len(a)) {
 			p += v
 		}
 		l.Instances = append(l.Instances, lavenderridge.Instance{
-			ID: lavenderridge.InstanceID(fmt.Sprintf("instance-%05d", i)), DataCentre: dataCentre(i), Service: service(i, s),
-			Peer: lavenderridge.Address(fmt.Sprintf("10.%d.%d.1:%d", i/250, i%250, p)), State: lavenderridge.InstanceLeaving,
+			ID: lavenderridge.InstanceID(fmt.Sprintf("instance-%05d", i)), DataCentre: dataCentre(i),
+			Service: lavenderridge.ServiceID(fmt.Sprintf("service-%d", b+i/dataCentres%(s-b))),
+			Peer:    lavenderridge.Address(fmt.Sprintf("127.1.%d.%d:%d", i/250, 1+i%250, p)), State: lavenderridge.InstanceLeaving,
 		})
 	}
 	return instancesjson.Format(l)
