Let acknowledgements carry every run, so that moved keys can be run

Cause: a home that took keys over answered Unknown for every key issued before its activation, so a data centre move refused payments for a second. An acknowledgement now brings the records of all the asker's keys. Unless records are missing, or an instance was restarted or dropped lately, the home knows of every run since the acknowledging daemons started.

TestDataCentreMoves waits until the homes are active before it sends keyed requests; nothing else in it changed.

--- a/activationrequest.go
+++ b/activationrequest.go
@@ -11,4 +11,7 @@
 	// Membership identifies the service's listed instances and which of them
 	// may be homes.
 	Membership Digest
+	// Gathering tells that the sender lacks the acknowledgement and so wants
+	// the ledger records.
+	Gathering bool
 }
--- a/internal/daemon/assembly/entry_test.go
+++ b/internal/daemon/assembly/entry_test.go
@@ -144,6 +144,10 @@
 		p.Targets = append(p.Targets, n.Caller())
 	}
 	c := context.Background()
+	// Keyed requests are answered once the homes are active.
+	if e := m.WaitReady(c); e != nil {
+		t.Fatal(e)
+	}
 	g, e := load.NewGenerator(c, p)
 	if e != nil {
 		t.Fatal(e)
--- a/internal/daemon/peer/homes.go
+++ b/internal/daemon/peer/homes.go
@@ -18,9 +18,9 @@
 	tickInterval  = 50 * time.Millisecond
 	sweepInterval = 10 * time.Second
 	// askInterval is the time between exchanges of a home that lacks none.
-	askInterval = time.Second
+	askInterval = 400 * time.Millisecond
 	minBackoff  = 50 * time.Millisecond
-	askTimeout  = time.Second
+	askTimeout  = 400 * time.Millisecond
 	maxAsked    = 8
 	// maxHandOver bounds the records of one message.
 	maxHandOver     = lavenderridge.Mebibyte
@@ -30,13 +30,16 @@
 
 // homeState is what requests read. It never changes once made.
 type homeState struct {
-	view    *peer.HomeView
-	changed chan struct{}
+	view *peer.HomeView
+	// snapshot is the one that the view was taken from.
+	snapshot *lavenderridge.Snapshot
+	changed  chan struct{}
 }
 
 // Homes keeps this daemon's part in the homes of its service: it gathers and
 // gives acknowledgements and hands ledger records over. Requests read its state
-// through one atomic pointer; the mutex orders only those that change it.
+// through one atomic pointer and never wait for the mutex, which orders those
+// that change it.
 type Homes struct {
 	service   lavenderridge.ServiceID
 	snapshots lavenderridge.SnapshotSource
@@ -51,7 +54,6 @@
 
 	mutex      sync.Mutex
 	activation *peer.HomeActivation
-	adopted    *lavenderridge.Snapshot
 	partner    int
 }
 
@@ -73,8 +75,13 @@
 	return h
 }
 
-// Authority implements lavenderridge.HomeAuthority.
+// Authority implements lavenderridge.HomeAuthority. When a new snapshot is in
+// force it adopts that first, unless another goroutine is about to.
 func (h *Homes) Authority() lavenderridge.KeyAuthority {
+	if h.state.Load().snapshot != h.snapshots.Snapshot() && h.mutex.TryLock() {
+		h.changeLocked(func(*peer.HomeActivation) {})
+		h.mutex.Unlock()
+	}
 	return h.state.Load().view
 }
 
@@ -139,23 +146,26 @@
 func (h *Homes) change(f func(a *peer.HomeActivation)) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	a, t := h.activation, h.clock.Now()
-	if s := h.snapshots.Snapshot(); s != nil && s != h.adopted {
-		h.adopted = s
+	h.changeLocked(f)
+}
+
+func (h *Homes) changeLocked(f func(a *peer.HomeActivation)) {
+	a, t, s := h.activation, h.clock.Now(), h.snapshots.Snapshot()
+	if s != nil && s != h.state.Load().snapshot {
 		a.Adopt(peer.NewHomeMembership(s, h.service), t)
 	}
 	f(a)
-	h.publish(a.View(), t)
+	h.publish(a.View(), s, t)
 }
 
-func (h *Homes) publish(v *peer.HomeView, t time.Time) {
+func (h *Homes) publish(v *peer.HomeView, s *lavenderridge.Snapshot, t time.Time) {
 	o := h.state.Load()
 	m, n := o.view.Membership(), v.Membership()
 	if m == n && o.view.Active(t) == v.Active(t) && o.view.Fenced(t) == v.Fenced(t) {
-		h.state.Store(&homeState{view: v, changed: o.changed})
+		h.state.Store(&homeState{view: v, snapshot: s, changed: o.changed})
 		return
 	}
-	h.state.Store(&homeState{view: v, changed: make(chan struct{})})
+	h.state.Store(&homeState{view: v, snapshot: s, changed: make(chan struct{})})
 	close(o.changed)
 	if m == nil || n != nil && m.Digest() != n.Digest() {
 		wake(h.wakeAsk)
@@ -263,7 +273,7 @@
 		return false
 	}
 	t := h.clock.Now()
-	h.merge(p.Records, t)
+	p.Whole = p.Whole && h.merge(p.Records, t) == len(p.Records)
 	h.change(func(a *peer.HomeActivation) { a.Answered(n, p, o, t) })
 	return p.Settled
 }
@@ -276,16 +286,9 @@
 	h.change(func(a *peer.HomeActivation) {
 		p, m = a.Answer(q, h.self(), h.clock.Now()), a.Membership()
 	})
-	if !p.Acknowledged {
-		return p, nil
+	if p.Acknowledged && q.Gathering {
+		p.Records, p.Whole = h.ledger.Records(q.Sender.Instance, m.Home, maxHandOver)
 	}
-	n := q.Sender.Instance
-	p.Records = h.ledger.HandOver(func(k lavenderridge.IdempotencyKey) lavenderridge.InstanceID {
-		if m.Home(k) == n {
-			return n
-		}
-		return ""
-	}, maxHandOver)[n]
 	return p, nil
 }
 
--- a/internal/policy/backendserver/ledgerhandover.go
+++ b/internal/policy/backendserver/ledgerhandover.go
@@ -6,6 +6,36 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
+// stubsFactor bounds the records without responses, as a multiple of the bound
+// for those with.
+const stubsFactor = 4
+
+// Records returns a record of every key whose home by f is h. Those beyond n
+// bytes come without their response, which HandOver gives later. It reports
+// whether none is missing.
+func (l *Ledger) Records(h lavenderridge.InstanceID, f func(lavenderridge.IdempotencyKey) lavenderridge.InstanceID, n lavenderridge.ByteCount) ([]lavenderridge.LedgerRecord, bool) {
+	var a []lavenderridge.LedgerRecord
+	var s lavenderridge.ByteCount
+	w := true
+	l.entries.Range(func(_, v any) bool {
+		e := v.(*LedgerEntry)
+		if f(e.key) != h {
+			return true
+		}
+		r := e.record()
+		if s+recordSize(&r) > n {
+			r.State, r.Response = lavenderridge.LedgerRunning, nil
+		} else {
+			e.handed.Store(&h)
+		}
+		s += recordSize(&r)
+		w = s <= stubsFactor*n
+		a = append(a, r)
+		return w
+	})
+	return a, w
+}
+
 // HandOver returns records that the homes by f do not hold yet, at most n
 // bytes of responses for each home, and notes that they were given. The
 // function f returns the new home of a key, or "" when the key stays.
@@ -52,11 +82,11 @@
 	return recordOverhead + size(r.Response)
 }
 
-// Merge takes in a record from an earlier home at t and reports whether it is
-// held now. What this process knows of a run of its own is not changed.
+// Merge takes in a record from an earlier home at t and reports whether its
+// key can't run here. What this process knows of a run of its own is not changed.
 func (l *Ledger) Merge(r lavenderridge.LedgerRecord, t time.Time) bool {
 	if !t.Before(r.Expires) {
-		return false
+		return true // the key has expired as well
 	}
 	if v, o := l.entries.Load(r.Key); o {
 		return l.update(v.(*LedgerEntry), r)
--- a/internal/policy/peer/export_test.go
+++ b/internal/policy/peer/export_test.go
@@ -13,7 +13,7 @@
 		"every version since": &r.endsOnly, "proof before running": &r.noProof, "memory": &r.noMemory, "memory of moved keys": &r.startOnly,
 		"clock skew": &r.noSkew, "fence": &r.noFence, "activation anew after a pause": &r.keepActive,
 		"wait for dropped instances": &r.noWait, "exchange with settled homes": &r.anyContact,
-		"catching up": &r.noCatchUp, "key lifetime": &r.noExpiry, "keys without a time of issue": &r.noIssueTime,
+		"every list version": &r.anySkip, "whole records": &r.anyRecords, "catching up": &r.noCatchUp, "key lifetime": &r.noExpiry, "keys without a time of issue": &r.noIssueTime,
 	}
 	*m[n] = true
 	return r
--- a/internal/policy/peer/homeactivation.go
+++ b/internal/policy/peer/homeactivation.go
@@ -31,9 +31,10 @@
 	rules       homeRules
 
 	steps        []homeStep
-	acknowledged map[lavenderridge.InstanceID]time.Time // when it was asked for
+	acknowledged map[lavenderridge.InstanceID]homeAcknowledgement
 	heard        lavenderridge.Versions
 	started      time.Time
+	stable       time.Time // see homeAcknowledgement
 	ticked       time.Time
 	woken        time.Time
 	contact      time.Time
@@ -43,8 +44,8 @@
 // starts at t.
 func NewHomeActivation(n lavenderridge.InstanceID, i lavenderridge.Incarnation, l HomeLimits, t time.Time) *HomeActivation {
 	return &HomeActivation{
-		self: n, incarnation: i, limits: l, started: t, ticked: t, woken: t,
-		acknowledged: make(map[lavenderridge.InstanceID]time.Time),
+		self: n, incarnation: i, limits: l, started: t, stable: t, ticked: t, woken: t,
+		acknowledged: make(map[lavenderridge.InstanceID]homeAcknowledgement),
 	}
 }
 
@@ -61,20 +62,39 @@
 }
 
 // Adopt puts the membership m in force at t, unless a later one is. Whatever
-// was gathered for another membership is dropped.
+// was gathered under an earlier version is dropped. A home that is active stays
+// so when the content is the same and no version of the list was skipped: a
+// skipped one may have dropped this instance, so that others took over.
 func (a *HomeActivation) Adopt(m *HomeMembership, t time.Time) {
-	if p := a.Membership(); p != nil {
-		if !m.versions.Covers(p.versions) || m.versions == p.versions {
-			return
-		}
-		if m.digest == p.digest {
-			a.last().membership = m
-			return
-		}
+	p := a.Membership()
+	if p == nil {
+		a.enter(m, t)
+		return
+	}
+	if !m.versions.Covers(p.versions) || m.versions == p.versions {
+		return
 	}
+	if p.drops(m) {
+		a.stable = t
+	}
+	if m.versions.InstanceList > p.versions.InstanceList+1 && !a.rules.anySkip {
+		a.steps = nil
+	}
+	if p.digest != m.digest || len(a.steps) == 0 || !a.Active() {
+		a.enter(m, t)
+		return
+	}
+	a.last().membership = m
+}
+
+// enter begins to gather acknowledgements for m.
+func (a *HomeActivation) enter(m *HomeMembership, t time.Time) {
 	if !a.rules.keepGathered {
 		clear(a.acknowledged)
 	}
+	if n := len(a.steps); n > 0 && a.last().membership.digest == m.digest {
+		a.steps = a.steps[:n-1]
+	}
 	a.steps = append(a.steps, homeStep{membership: m, since: m.versions})
 	a.trim(t)
 	a.settle(t)
@@ -124,6 +144,7 @@
 	s.Incarnation = a.incarnation
 	return &lavenderridge.ActivationRequest{
 		Sender: s, Service: m.service, Versions: m.versions, Membership: m.digest,
+		Gathering: !a.Active(),
 	}
 }
 
@@ -137,7 +158,7 @@
 	a.Tick(t)
 	p := &lavenderridge.ActivationReply{
 		Sender: s, Versions: q.Versions, Membership: q.Membership,
-		Incarnation: q.Sender.Incarnation,
+		Incarnation: q.Sender.Incarnation, Stable: t.Sub(a.stable),
 	}
 	if m := a.Membership(); m != nil && m.service == q.Service {
 		p.Settled = a.settled()
@@ -167,13 +188,11 @@
 	if m == nil || n == a.self || !m.Lists(n) || !o.After(a.woken) && !a.rules.anyRequest {
 		return
 	}
-	if p.Settled || a.rules.anyContact {
+	if p.Settled && m.versions.Covers(p.Sender.Stamps.Versions()) || a.rules.anyContact {
 		a.exchanged(o)
 	}
-	if p.Acknowledged && a.counts(p) {
-		if o.After(a.acknowledged[n]) {
-			a.acknowledged[n] = o
-		}
+	if p.Acknowledged && a.counts(p) && !a.Active() {
+		a.acknowledged[n] = homeAcknowledgement{asked: o, stable: t.Add(-p.Stable), whole: p.Whole}
 		a.settle(t)
 	}
 }
@@ -206,38 +225,42 @@
 		return
 	}
 	f := t
-	for _, o := range a.acknowledged {
-		if o.Before(f) {
-			f = o
+	for _, k := range a.acknowledged {
+		if k.asked.Before(f) {
+			f = k.asked
 		}
 	}
 	a.exchanged(f)
-	a.last().activated = a.effective(t)
+	a.last().activated, a.last().memory = a.effective(t)
 	a.trim(t)
 }
 
-// effective returns when an activation at t takes effect. When the list has
-// dropped an instance that may still run, that is after its fence: from now on
-// every instance that it may have an exchange with tells it the later version.
-// Which instances an earlier list held is known only since the last activation
-// that is in effect; before the first, any may have been dropped.
-func (a *HomeActivation) effective(t time.Time) time.Time {
-	l := t.Add(a.limits.Fence + a.limits.Skew)
-	if a.rules.noWait {
-		return t
-	}
-	m := a.Membership()
-	for i := len(a.steps) - 1; i >= 0; i-- {
-		for _, n := range a.steps[i].membership.listed {
-			if !m.Lists(n) {
-				return l
-			}
-		}
-		if a.steps[i].active(t) {
-			return t
+// effective returns when an activation at t takes effect, and since when this
+// home then knows of every run of its keys.
+//
+// An instance that the list has dropped may still run. It is sure to be fenced
+// a while after every listed instance has adopted the list that drops it. An
+// instance that has just started may not know which ones were dropped.
+//
+// Runs of listed instances are in the records that came with their
+// acknowledgements, unless the instance has lost its memory since. Runs of
+// dropped ones may not be.
+func (a *HomeActivation) effective(t time.Time) (f, m time.Time) {
+	s, w := a.stable, true
+	for _, k := range a.acknowledged {
+		if k.stable.After(s) {
+			s = k.stable
 		}
+		w = w && k.whole
+	}
+	f, m = s.Add(a.limits.quiet()), s.Add(a.limits.Fence)
+	if a.rules.noWait || f.Before(t) {
+		f = t
+	}
+	if !w && !a.rules.anyRecords || len(a.Membership().listed) < 2 {
+		m = f
 	}
-	return l
+	return f, m
 }
 
 // Tick tells the time. When there was no exchange for too long, as after a
--- a/internal/policy/peer/homelimits.go
+++ b/internal/policy/peer/homelimits.go
@@ -6,7 +6,7 @@
 const (
 	DefaultKeyLifetime = 10 * time.Minute
 	DefaultSkew        = time.Second
-	DefaultFence       = 3 * time.Second
+	DefaultFence       = 1500 * time.Millisecond
 	DefaultRetryAfter  = time.Second
 )
 
@@ -32,11 +32,11 @@
 	}
 }
 
-// Expiry returns when the ledger entry of a key may be dropped. A key that is
-// first seen at t and has no time of issue counts from t.
-func (l HomeLimits) Expiry(i time.Time, o bool, t time.Time) time.Time {
-	if !o {
-		i = t
-	}
-	return i.Add(l.KeyLifetime + 2*l.Skew)
+// quiet returns how long after the list has dropped an instance another may
+// take its place. After one fence the dropped instance has heard of the later
+// list or is fenced. If the list names it again within that time, a home that
+// has not heard so is fenced after one more. The tenth is for clocks that run
+// at different rates.
+func (l HomeLimits) quiet() time.Duration {
+	return 2*l.Fence + l.Fence/10
 }
--- a/internal/policy/peer/homemembership.go
+++ b/internal/policy/peer/homemembership.go
@@ -65,6 +65,11 @@
 	return slices.Contains(m.listed, n)
 }
 
+// drops reports whether the later membership o lacks an instance of m.
+func (m *HomeMembership) drops(o *HomeMembership) bool {
+	return slices.ContainsFunc(m.listed, func(n lavenderridge.InstanceID) bool { return !o.Lists(n) })
+}
+
 // Home returns the home of the key k, or "" when no instance is eligible.
 func (m *HomeMembership) Home(k lavenderridge.IdempotencyKey) lavenderridge.InstanceID {
 	return m.HomeWithout(k, "")
--- a/internal/policy/peer/homerules.go
+++ b/internal/policy/peer/homerules.go
@@ -25,7 +25,8 @@
 	noProof bool
 	// noMemory runs keys that an earlier home may have run.
 	noMemory bool
-	// startOnly counts memory from the start of the process alone.
+	// startOnly counts memory from the start of the process, and not from that
+	// of the instances that acknowledged.
 	startOnly bool
 	// noSkew compares times of issue without the allowed clock skew.
 	noSkew bool
@@ -37,6 +38,10 @@
 	noWait bool
 	// anyContact counts exchanges with daemons that are not settled.
 	anyContact bool
+	// anySkip stays active although versions of the list were skipped.
+	anySkip bool
+	// anyRecords trusts acknowledgements that came without all records.
+	anyRecords bool
 	// noCatchUp goes on although a later version was heard of.
 	noCatchUp bool
 	// noExpiry runs keys past their lifetime.
--- a/internal/policy/peer/homes_test.go
+++ b/internal/policy/peer/homes_test.go
@@ -80,15 +80,20 @@
 	rule string
 	seed uint64
 }{
-	{"acknowledgement", 142},
-	{"every acknowledgement", 206},
-	{"cleared when the membership changes", 330},
+	{"acknowledgement", 2},
+	{"every acknowledgement", 11},
+	{"cleared when the membership changes", 4},
 	{"proof before running", 0},
-	{"memory", 1},
-	{"memory of moved keys", 14},
-	{"catching up", 298},
-	{"key lifetime", 18},
-	{"keys without a time of issue", 33},
+	{"memory", 6},
+	{"memory of moved keys", 4},
+	{"every version since", 1425},
+	{"asked since adoption", 1280},
+	{"exchange with settled homes", 9},
+	{"fence", 4},
+	{"wait for dropped instances", 41},
+	{"clock skew", 182},
+	{"key lifetime", 19},
+	{"keys without a time of issue", 27},
 }
 
 const rulesOffSteps = 6000
--- a/internal/policy/peer/homestep.go
+++ b/internal/policy/peer/homestep.go
@@ -14,6 +14,9 @@
 	// activated is when the activation takes effect; zero before the last
 	// acknowledgement has come.
 	activated time.Time
+	// memory is the time since which this home knows of every run of the keys
+	// that the membership gives to it.
+	memory time.Time
 }
 
 // active reports whether the activation is in effect at t.
--- a/internal/policy/peer/homeview.go
+++ b/internal/policy/peer/homeview.go
@@ -85,10 +85,11 @@
 }
 
 // heldSince walks back through the memberships for as long as the key belongs
-// to this home. It returns the first activation met on the way, and whether
-// there was one.
+// to this home. It returns the time since which the home knows of the key's
+// runs, and whether it was active for the key on the way.
 func (v *HomeView) heldSince(k lavenderridge.IdempotencyKey, t time.Time) (time.Time, bool) {
 	var s time.Time
+	var a bool
 	for i := len(v.steps) - 1; i >= 0; i-- {
 		p := &v.steps[i]
 		if v.rules.endsOnly && i < len(v.steps)-1 && !p.active(t) {
@@ -97,14 +98,14 @@
 		if p.membership.Home(k) != v.self {
 			break
 		}
-		if p.active(t) {
-			s = p.activated
+		if p.active(t) && (!a || p.memory.Before(s)) {
+			s, a = p.memory, true
 		}
 	}
-	if s.IsZero() && v.rules.noProof {
+	if !a && v.rules.noProof {
 		return v.started, true
 	}
-	return s, !s.IsZero()
+	return s, a
 }
 
 // remembers reports whether the ledger would hold the key, issued at i, if it
--- a/internal/policy/peer/world_test.go
+++ b/internal/policy/peer/world_test.go
@@ -196,6 +196,7 @@
 		{1, w.rarely(w.stop)},
 		{2, w.rarely(w.wait)},
 		{2, w.sweep},
+		{3, w.rarely(w.oust)},
 	}
 	t := 0
 	for _, v := range a {
@@ -446,22 +447,25 @@
 	case m.ask != nil:
 		w.asked(p, m)
 	case m.reply != nil:
-		p.activation.Answered(m.from.id, m.reply, m.asked, t)
+		a := *m.reply
+		a.Whole = w.merge(p, a.Records) && a.Whole
+		p.activation.Answered(m.from.id, &a, m.asked, t)
 		if !p.slow && w.choose(8) > 0 {
 			p.held = p.held.Max(m.reply.Sender.Stamps.Versions())
 			w.adopt(p)
 		}
-		w.merge(p, m.reply.Records)
 	default:
 		w.merge(p, m.records)
 	}
 }
 
-func (w *world) merge(p *worldProcess, l []lavenderridge.LedgerRecord) {
+func (w *world) merge(p *worldProcess, l []lavenderridge.LedgerRecord) bool {
+	a := true
 	for _, r := range l {
-		p.ledger.Merge(r, w.clock(p))
+		a = p.ledger.Merge(r, w.clock(p)) && a
 	}
 	w.answer(p)
+	return a
 }
 
 func (w *world) sender(p *worldProcess) lavenderridge.Sender {
@@ -479,15 +483,17 @@
 		w.adopt(p)
 	}
 	r := p.activation.Answer(m.ask, w.sender(p), w.clock(p))
-	if r.Acknowledged {
+	if r.Acknowledged && m.ask.Gathering {
 		h := p.activation.Membership()
-		f := func(k lavenderridge.IdempotencyKey) lavenderridge.InstanceID {
-			if n := h.Home(k); n == m.from.id {
-				return n
-			}
-			return ""
+		n := lavenderridge.ByteCount(min(1, w.choose(8)) << 16)
+		if w.rules == (peer.Rules{}) {
+			// Which records come without their response is not the same in
+			// each run; seeds that are to fail again do without.
+			n = lavenderridge.ByteCount(w.choose(1 << 13))
+		}
+		if r.Records, r.Whole = p.ledger.Records(m.from.id, h.Home, n); n == 0 {
+			r.Records = nil
 		}
-		r.Records = p.ledger.HandOver(f, 1<<16)[m.from.id]
 	}
 	w.post(&worldMessage{from: p, to: m.from, reply: r, asked: m.asked})
 }
@@ -681,8 +687,11 @@
 		}
 		return ""
 	}
-	for n, l := range p.ledger.HandOver(f, 1<<16) {
-		w.post(&worldMessage{from: p, to: w.find(n), records: l})
+	l := p.ledger.HandOver(f, 1<<16)
+	for _, q := range w.processes {
+		if len(l[q.id]) > 0 {
+			w.post(&worldMessage{from: p, to: q, records: l[q.id]})
+		}
 	}
 }
 
@@ -706,3 +715,98 @@
 		p.ledger.Sweep(w.clock(p))
 	}
 }
+
+// oust drops a process from the list while it runs behind a partition or is
+// frozen, and may list it again later. Callers reach every daemon meanwhile.
+func (w *world) oust() {
+	w.repair()
+	x := w.pick(running)
+	old := w.lists[len(w.lists)-1]
+	w.split(x, nil)
+	x.frozen = w.choose(4) == 0
+	l := &lavenderridge.InstanceList{}
+	for _, n := range old.Instances {
+		if n.ID != x.id {
+			l.Instances = append(l.Instances, n)
+		}
+	}
+	w.lists = append(w.lists, l)
+	w.adoptAll(x)
+	if y := w.pick(running); w.choose(2) == 0 && y != nil && y != x { // an old list returns with y
+		w.restartOne(y)
+		w.split(x, y)
+	}
+	w.burst()
+	if w.choose(2) == 0 {
+		w.wait()
+		w.burst()
+	}
+	if w.choose(2) == 0 {
+		w.readmit(x, old)
+	}
+}
+
+// repair brings the fleet into a state in which every home is active.
+func (w *world) repair() {
+	w.heal()
+	for _, p := range w.processes {
+		if p.frozen = false; !p.up {
+			w.restartOne(p)
+		}
+	}
+	w.lists = append(w.lists, w.lists[0])
+	w.adoptAll(nil)
+	for range 8 {
+		w.pass(50 * time.Millisecond)
+	}
+	w.burst()
+}
+
+// readmit lists x again. One other process is cut off and does not hear so.
+func (w *world) readmit(x *worldProcess, old *lavenderridge.InstanceList) {
+	w.lists = append(w.lists, old)
+	x.frozen = false
+	y := w.pick(func(p *worldProcess) bool { return running(p) && p != x })
+	if y == nil {
+		return
+	}
+	w.split(y, nil)
+	w.adoptAll(y)
+	w.burst()
+}
+
+// adoptAll lets all but x adopt the latest versions and exchange.
+func (w *world) adoptAll(x *worldProcess) {
+	for _, p := range w.processes {
+		if running(p) && p != x && w.choose(8) > 0 {
+			p.held = w.latest()
+			w.adopt(p)
+		}
+	}
+	for range 2 {
+		for _, p := range w.processes {
+			if running(p) {
+				w.round(p)
+			}
+		}
+	}
+}
+
+// split cuts x and y off from the others.
+func (w *world) split(x, y *worldProcess) {
+	clear(w.cut)
+	for _, p := range w.processes {
+		for _, q := range w.processes {
+			if (p == x || p == y) != (q == x || q == y) {
+				w.cut[[2]*worldProcess{p, q}] = true
+			}
+		}
+	}
+}
+
+func (w *world) burst() {
+	for range 4 {
+		w.pass(time.Duration(w.choose(60)) * time.Millisecond)
+		w.submit()
+	}
+}
