--- a/internal/daemon/assembly/homepart.go
+++ b/internal/daemon/assembly/homepart.go
@@ -12,7 +12,7 @@
 )
 
 // maxHandOver bounds the handing over of the ledger at a planned stop.
-const maxHandOver = 5 * time.Second
+const maxHandOver = 2 * time.Second
 
 // homePart runs keyed requests at most once.
 type homePart struct {
