--- a/internal/policy/peer/world_test.go
+++ b/internal/policy/peer/world_test.go
@@ -84,7 +84,8 @@
 	runs      int
 	outcomes  map[string]int
 	fault     string
-	calm      int // only one of so many faults comes about
+	last      string // the last answer to a caller
+	calm      int    // only one of so many faults comes about
 }
 
 func newWorld(r peer.Rules, choose func(n int) int) *world {
@@ -337,6 +338,7 @@
 }
 
 func (w *world) refused(p *worldProcess, k *worldKey, f *lavenderridge.Refusal) {
+	w.last = f.Error()
 	w.outcomes[f.Outcome.String()+" "+string(f.Reason)]++
 	if f.Outcome != lavenderridge.OutcomeNotRun {
 		k.unknown = true
@@ -357,6 +359,7 @@
 			a = append(a, v)
 		case o.Response != nil:
 			w.outcomes["Done"]++
+			w.last = fmt.Sprintf("%s: answered %q", p.id, o.Response.Body)
 			if s := string(o.Response.Body); s != v.key.result {
 				w.fail("%s answers %s with %q instead of %q", p.id, v.key.key, s, v.key.result)
 			}
