Keep the goroutines that serve streams, and measure a data centre's moves

Cause: the profile of BenchmarkCall showed 27% of the processor time in runtime.pcvalue and more in stack copying: each stream was served on a new goroutine whose stack grew by copying under the CBOR decoder. Idle workers now take the next stream. A pool of fixed size was ruled out, because a slow request would hold others up.

--- /dev/null
+++ b/internal/cmd/datacentre/run.go
@@ -0,0 +1,107 @@
+package datacentre
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/load/caller"
+	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
+)
+
+const (
+	moving lavenderridge.DataCentreID = "fukuoka"
+
+	settleTime = 10 * time.Second
+	warmUp     = 5 * time.Second
+	// lateAfter is the time after which a data centre gets no new work.
+	lateAfter      = 5 * time.Second
+	requestTimeout = 2 * time.Second
+	concurrency    = 256
+)
+
+// Run measures one run with the balanced router, or with the plain one if o is
+// set.
+func Run(c context.Context, p Plan, o bool) (*Report, error) {
+	m, e := mesh.NewMesh(
+		c,
+		mesh.WithReplicas(p.Replicas),
+		mesh.WithDataCentres(moving, "kumamoto", "saga"),
+		mesh.WithConfig(func(f *assembly.Config) { f.PlainRouting = o }),
+		mesh.WithBackend(func(n lavenderridge.Instance) http.Handler { return newColdServer(n, p) }),
+	)
+	if e != nil {
+		return nil, e
+	}
+	defer func() { _ = m.Close() }()
+	d, f := context.WithTimeout(c, settleTime)
+	defer f()
+	if e := m.Wait(d, func(d *assembly.Daemon) bool { return d.Status().Ready }); e != nil {
+		return nil, e
+	}
+	r := &Report{Routing: "balanced"}
+	if o {
+		r.Routing = "plain"
+	}
+	return r, r.measure(c, p, m)
+}
+
+// measure sends the load, and moves the data centre meanwhile.
+func (r *Report) measure(c context.Context, p Plan, m *mesh.Mesh) error {
+	l := caller.Plan{
+		Mix:  []caller.Share{{Path: "/roster/read", Weight: 3}, {Path: "/roster/write", Weight: 1, Keyed: true}},
+		Rate: p.Rate, Concurrency: concurrency, Duration: warmUp, Timeout: requestTimeout, Seed: 1,
+	}
+	for _, n := range m.Members {
+		l.Targets = append(l.Targets, n.Caller())
+	}
+	w, e := caller.NewGenerator(c, l)
+	if e != nil {
+		return e
+	}
+	w.Run(c)
+	l.Duration = 3 * p.Step
+	g, e := caller.NewGenerator(c, l)
+	if e != nil {
+		return e
+	}
+	f := make(chan error, 1)
+	go func() { f <- r.move(c, p, m) }()
+	r.Load = g.Run(c)
+	return <-f
+}
+
+// move takes the data centre out and back, with backend servers that start
+// cold.
+func (r *Report) move(c context.Context, p Plan, m *mesh.Mesh) error {
+	if !sleep(c, p.Step) {
+		return c.Err()
+	}
+	t := time.Now()
+	if e := m.SetDataCentre(moving, lavenderridge.OutOfService); e != nil {
+		return e
+	}
+	if !sleep(c, p.Step) {
+		return c.Err()
+	}
+	for _, n := range m.Members {
+		if n.Instance.DataCentre != moving {
+			continue
+		}
+		b := n.Backend.(*coldServer)
+		r.Late += b.begunAfter(t.Add(lateAfter))
+		b.restart()
+	}
+	return m.SetDataCentre(moving, lavenderridge.InService)
+}
+
+func sleep(c context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-c.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/cmd/lavenderridge/measuredatacentrecmd.go
@@ -0,0 +1,64 @@
+package lavenderridge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/cmd/datacentre"
+)
+
+// measureDataCentreCmd measures a data centre's leaving and returning.
+type measureDataCentreCmd struct {
+	clause *kingpin.CmdClause
+	out    io.Writer
+	plan   datacentre.Plan
+	rate   float64
+	cold   int
+	json   bool
+}
+
+var _ command = (*measureDataCentreCmd)(nil)
+
+func newMeasureDataCentreCmd(a *kingpin.Application, w io.Writer) command {
+	p := a.GetCommand("measure")
+	if p == nil {
+		p = a.Command("measure", "Measure the system on this machine.")
+	}
+	m := &measureDataCentreCmd{out: w, clause: p.Command("datacentre", "Measure success and latency while one of three data centres leaves and returns with cold backend servers, with the router and with plain round robin.")}
+	f := m.clause
+	f.Flag("rate", "Requests in a second.").Default("400").Float64Var(&m.rate)
+	f.Flag("replicas", "Instances in each data centre.").Default("2").IntVar(&m.plan.Replicas)
+	f.Flag("service-time", "Time that a backend server takes.").Default("50ms").DurationVar(&m.plan.ServiceTime)
+	f.Flag("step", "Time before the leaving, between it and the return, and after.").Default("8s").DurationVar(&m.plan.Step)
+	f.Flag("cold-time", "Time for which a backend server is cold after its start.").Default("4s").DurationVar(&m.plan.ColdTime)
+	f.Flag("cold-slots", "Requests that a cold backend server bears at once.").Default("2").IntVar(&m.cold)
+	f.Flag("json", "Print JSON.").BoolVar(&m.json)
+	return m
+}
+
+func (m *measureDataCentreCmd) name() string {
+	return m.clause.FullCommand()
+}
+
+func (m *measureDataCentreCmd) run(c context.Context) error {
+	m.plan.Rate, m.plan.ColdSlots = lavenderridge.Rate(m.rate), lavenderridge.Slots(m.cold)
+	for _, o := range []bool{false, true} {
+		r, e := datacentre.Run(c, m.plan, o)
+		if e != nil {
+			return e
+		}
+		if m.json {
+			e = json.NewEncoder(m.out).Encode(r)
+		} else {
+			e = r.WriteTable(m.out)
+		}
+		if e != nil {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -54,7 +54,7 @@
 		newLoadCmd(p, w), newTryCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
 		newMeasureConvergenceCmd(p, w),
-		newMeasureLatencyCmd(p, w),
+		newMeasureLatencyCmd(p, w), newMeasureDataCentreCmd(p, w),
 	}
 	m := make(map[string]command, len(a))
 	for _, v := range a {
--- a/internal/transport/peerquic/server.go
+++ b/internal/transport/peerquic/server.go
@@ -20,11 +20,12 @@
 	peer      lavenderridge.Peer
 	// connections counts those that are being served.
 	connections sync.WaitGroup
+	workers     *workers
 }
 
 // NewServer returns a server that passes the calls on t to the peer p.
 func NewServer(t *Transport, p lavenderridge.Peer) *Server {
-	return &Server{transport: t, peer: p}
+	return &Server{transport: t, peer: p, workers: newWorkers()}
 }
 
 // Serve accepts connections until c ends. It answers running calls, and those
@@ -34,6 +35,7 @@
 	if e != nil {
 		return fmt.Errorf("peerquic: listen: %w", e)
 	}
+	defer s.workers.wait.Wait()
 	defer s.connections.Wait()
 	defer func() { _ = l.Close() }()
 	for {
@@ -88,7 +90,9 @@
 			return
 		}
 		k.begin()
-		w.Go(func() {
+		w.Add(1)
+		s.workers.run(c, func() {
+			defer w.Done()
 			defer k.end()
 			s.serveStream(t, i)
 		})
