--- a/internal/cmd/datacentre/run.go
+++ b/internal/cmd/datacentre/run.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/load/caller"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
 )
 
@@ -19,6 +19,8 @@
 	// lateAfter is the time after which a data centre gets no new work.
 	lateAfter      = 5 * time.Second
 	requestTimeout = 2 * time.Second
+	restartTime    = 50 * time.Millisecond
+	slots          = 10
 	concurrency    = 256
 )
 
@@ -30,7 +32,7 @@
 		mesh.WithReplicas(p.Replicas),
 		mesh.WithDataCentres(moving, "kumamoto", "saga"),
 		mesh.WithConfig(func(f *assembly.Config) { f.PlainRouting = o }),
-		mesh.WithBackend(func(n lavenderridge.Instance) http.Handler { return newColdServer(n, p) }),
+		mesh.WithBackend(p.newBackend),
 	)
 	if e != nil {
 		return nil, e
@@ -90,13 +92,34 @@
 		if n.Instance.DataCentre != moving {
 			continue
 		}
-		b := n.Backend.(*coldServer)
-		r.Late += b.begunAfter(t.Add(lateAfter))
-		b.restart()
+		r.Late += begunAfter(n.Backend, t.Add(lateAfter))
+		if e := n.Backend.Restart(restartTime); e != nil {
+			return e
+		}
 	}
 	return m.SetDataCentre(moving, lavenderridge.InService)
 }
 
+// newBackend returns the backend server of n, which starts cold in the data
+// centre that moves.
+func (p *Plan) newBackend(n lavenderridge.Instance) *backendserver.Server {
+	if n.DataCentre != moving {
+		return backendserver.NewServer(n.ID, slots, p.ServiceTime)
+	}
+	return backendserver.NewServer(n.ID, slots, p.ServiceTime, backendserver.WithColdStart(p.ColdSlots, p.ColdTime, backendserver.FailureErrors))
+}
+
+// begunAfter counts the requests that the backend server b began after t.
+func begunAfter(b *backendserver.Server, t time.Time) int {
+	n := 0
+	for _, r := range b.Record() {
+		if r.Begun.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
 func sleep(c context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
