Ask a home that is about to take up its work again within the deadline

Cause: three attempts within 15 ms are over before a home has gathered its acknowledgements, so a keyed request was refused with most of its deadline unused. Up to six attempts now wait for a share of the time left; the budget holds for them as well. A wait for the whole Retry-After (1 s) was ruled out: two of them do not fit into a deadline of 2 s.

The entry takes the homes' clock skew for keys from the future: it allowed 5 s where homes allow 1 s. The tests of whole daemons wait for the homes.

--- a/internal/cmd/datacentre/run.go
+++ b/internal/cmd/datacentre/run.go
@@ -14,7 +14,7 @@
 const (
 	moving lavenderridge.DataCentreID = "fukuoka"
 
-	settleTime = 10 * time.Second
+	settleTime = 30 * time.Second
 	warmUp     = 5 * time.Second
 	// lateAfter is the time after which a data centre gets no new work.
 	lateAfter      = 5 * time.Second
@@ -40,7 +40,7 @@
 	defer func() { _ = m.Close() }()
 	d, f := context.WithTimeout(c, settleTime)
 	defer f()
-	if e := m.Wait(d, func(d *assembly.Daemon) bool { return d.Status().Ready }); e != nil {
+	if e := m.WaitReady(d); e != nil {
 		return nil, e
 	}
 	r := &Report{Routing: "balanced"}
--- a/internal/policy/caller/keycheck.go
+++ b/internal/policy/caller/keycheck.go
@@ -4,11 +4,12 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 )
 
 const (
-	// maxKeySkew is how far ahead a caller's clock may run.
-	maxKeySkew = 5 * time.Second
+	// maxKeySkew is how far ahead a caller's clock may run, as homes see it.
+	maxKeySkew = peer.DefaultSkew
 	maxKeySize = 255
 )
 
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -13,6 +13,11 @@
 	// markedAttempts bounds the attempts of a request whose retries belong to
 	// a layer above. The second follows a proven NotRun only.
 	markedAttempts lavenderridge.Attempt = 2
+	// homeAttempts bounds the attempts at a home that is about to take up its
+	// work.
+	homeAttempts lavenderridge.Attempt = 6
+	// homeWaitShare divides the time left into the bounds of these waits.
+	homeWaitShare time.Duration = 8
 
 	defaultBackoff    = 5 * time.Millisecond
 	defaultMaxBackoff = 250 * time.Millisecond
@@ -46,18 +51,21 @@
 // the entry e, after n attempts of which the last was refused with f. It
 // reports false when there must be none.
 func (p *RetryPolicy) Next(e *lavenderridge.Entry, r *lavenderridge.Request, n lavenderridge.Attempt, f *lavenderridge.Refusal, t time.Time) (time.Duration, bool) {
-	if f.Retried || n >= p.maxAttempts(e, r) || !repeatable(r, f) {
+	if f.Retried || n >= p.maxAttempts(e, r, f) || !repeatable(r, f) {
 		return 0, false
 	}
-	d := p.wait(n, f)
+	d := p.wait(r, n, f, t)
 	if !t.Add(d).Before(r.Deadline) {
 		return 0, false
 	}
 	return d, p.budget(r.Service, t).Take(t)
 }
 
-func (p *RetryPolicy) maxAttempts(e *lavenderridge.Entry, r *lavenderridge.Request) lavenderridge.Attempt {
+func (p *RetryPolicy) maxAttempts(e *lavenderridge.Entry, r *lavenderridge.Request, f *lavenderridge.Refusal) lavenderridge.Attempt {
 	n := p.attempts
+	if homeChanges(r, f) && n > 1 {
+		n = homeAttempts
+	}
 	if e.Limits.Attempts > 0 {
 		n = e.Limits.Attempts
 	}
@@ -92,10 +100,21 @@
 	return false
 }
 
+// homeChanges reports whether the home of the request's key is about to take
+// up its work. It ran nothing, and the same key may be asked for again.
+func homeChanges(r *lavenderridge.Request, f *lavenderridge.Refusal) bool {
+	return Keyed(r) && (f.Reason == lavenderridge.ReasonNotActive || f.Reason == lavenderridge.ReasonNotHome)
+}
+
 // wait returns a random time up to a bound that doubles with each attempt. The
-// second attempt after a target that is gone needs no wait.
-func (p *RetryPolicy) wait(n lavenderridge.Attempt, f *lavenderridge.Refusal) time.Duration {
-	if n == 1 && f.Outcome == lavenderridge.OutcomeNotRun && f.Reason != lavenderridge.ReasonOverloaded && f.Reason != lavenderridge.ReasonNotActive {
+// second attempt after a target that is gone needs no wait. A home that changes
+// is given a share of the time left.
+func (p *RetryPolicy) wait(r *lavenderridge.Request, n lavenderridge.Attempt, f *lavenderridge.Refusal, t time.Time) time.Duration {
+	if homeChanges(r, f) {
+		b := min(p.maxBackoff, r.Deadline.Sub(t)/homeWaitShare)
+		return time.Duration((0.5 + p.random()/2) * float64(b))
+	}
+	if n == 1 && f.Outcome == lavenderridge.OutcomeNotRun && f.Reason != lavenderridge.ReasonOverloaded {
 		return 0
 	}
 	b := min(p.backoff<<min(n-1, 16), p.maxBackoff)
