Bound the part of a service's requests that the entry sheds

Cause: with every request refused, the part shed came to 9,999 in 10,000, and a service that accepts again would have been found out at that pace. At most nine in ten are shed now. The golden session shows the request with the random number 0.91 shed without the bound and admitted with it.

--- a/internal/policy/caller/shedder.go
+++ b/internal/policy/caller/shedder.go
@@ -13,6 +13,9 @@
 	shedWindow = 2 * time.Second
 	// minRefused is the number of refusals below which nothing is shed.
 	minRefused = 10
+	// maxShed bounds the part that is shed, so that enough requests find out
+	// when the targets accept again.
+	maxShed = 0.9
 )
 
 // A Shedder refuses a part of a service's requests when its targets refuse
@@ -50,7 +53,7 @@
 		return nil
 	}
 	p := (float64(n) - multiple(k)*float64(a)) / float64(n+1)
-	if s.random() >= p {
+	if s.random() >= min(p, maxShed) {
 		return nil
 	}
 	v.requests.Add(1)
