Measure goodput under overload and recovery from a herd restart

Cause: whether the ramp and the queue earn their place is a matter of figures.

measure restart restarts six backend servers at once under half of their capacity (1,500/s); each is cold for 2 s, bears two requests at once in that time, and crashes under more.

--- /dev/null
+++ b/internal/cmd/lavenderridge/measurerestartcmd.go
@@ -0,0 +1,61 @@
+package lavenderridge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lavenderridge/lavenderridge/internal/measure/backendserver"
+)
+
+// measureRestartCmd measures recovery after a restart of all backend servers.
+type measureRestartCmd struct {
+	clause *kingpin.CmdClause
+	out    io.Writer
+	json   bool
+}
+
+var _ command = (*measureRestartCmd)(nil)
+
+func newMeasureRestartCmd(a *kingpin.CmdClause, w io.Writer) command {
+	s := &measureRestartCmd{clause: a.Command("restart", "Recovery after a restart of all backend servers with cold starts, with the ramp and without (about 75 seconds)."), out: w}
+	s.clause.Flag("json", "Print JSON.").BoolVar(&s.json)
+	return s
+}
+
+func (s *measureRestartCmd) name() string {
+	return s.clause.FullCommand()
+}
+
+func (s *measureRestartCmd) run(c context.Context) error {
+	var a []backendserver.Recovery
+	for _, m := range []backendserver.Mode{backendserver.ModeAdaptive, backendserver.ModePlain} {
+		r, e := backendserver.MeasureRecovery(c, m)
+		if e != nil {
+			return e
+		}
+		a = append(a, r)
+	}
+	if s.json {
+		return json.NewEncoder(s.out).Encode(a)
+	}
+	for _, r := range a {
+		s.print(r)
+	}
+	return nil
+}
+
+func (s *measureRestartCmd) print(r backendserver.Recovery) {
+	t := "not within the measurement"
+	if r.Recovered {
+		t = r.After.String()
+	}
+	_, _ = fmt.Fprintf(s.out, "%-10s offered %.0f/s, recovered after %s, answered %.1f%%, further crashes %d\n  by second:", r.Mode, r.Offered, t, 100*r.Good, r.Crashes)
+	for _, v := range r.Seconds {
+		_, _ = fmt.Fprintf(s.out, " %.0f%%", 100*v)
+	}
+	_, _ = fmt.Fprintln(s.out)
+}
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -49,10 +49,12 @@
 // commands adds every command to the application p and returns them by name.
 func commands(p *kingpin.Application, w io.Writer) map[string]command {
 	k := p.Command("keys", "Make the keys with which daemons trust each other.")
+	n := p.Command("measure", "Measure on this machine, with stand-ins.")
 	a := []command{
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w), newExplainCmd(p, w), newBurnCmd(p, w),
 		newLoadCmd(p, w), newTryCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
+		newMeasureGoodputCmd(n, w), newMeasureRestartCmd(n, w),
 	}
 	m := make(map[string]command, len(a))
 	for _, v := range a {
