--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -22,6 +24,8 @@
 	maxStopTimeout     = 10 * time.Minute
 	defaultConnections = 130
 	maxConnections     = 100_000
+	defaultFleetSize   = 500
+	maxFleetSize       = 100_000
 	defaultDecisions   = 4096
 	maxDecisions       = 1 << 20
 	defaultReload      = 10 * time.Second
@@ -70,13 +74,17 @@
 		return nil, f
 	}
 	s := &Settings{reader: r}
+	s.read(r)
+	r.unknown()
+	return s, r.sorted()
+}
+
+func (s *Settings) read(r *reader) {
 	s.readIdentity(r)
 	s.readAddresses(r)
 	s.readLimits(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
-	r.unknown()
-	return s, r.sorted()
 }
 
 func (s *Settings) readIdentity(r *reader) {
@@ -103,6 +111,7 @@
 	d.Connections = lavenderridge.Connections(r.count("Backend.Connections", defaultConnections, 1, maxConnections))
 	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
 	d.StopTimeout = r.duration("Limits.StopTimeout", defaultStopTimeout, minStopTimeout, maxStopTimeout)
+	d.FleetSize = r.count("ConfigService.FleetSize", defaultFleetSize, 1, maxFleetSize)
 	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 }
 
@@ -140,6 +149,12 @@
 	return r.sorted()
 }
 
+// OperatorIsLoopback reports whether only this machine reaches the operator
+// address.
+func (s *Settings) OperatorIsLoopback() bool {
+	return isLoopback(s.Daemon.Operator)
+}
+
 // Keys loads the certificate files.
 func (s *Settings) Keys() (*peertls.Keys, error) {
 	k, e := s.Daemon.KeyFiles.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
@@ -165,3 +180,11 @@
 	}
 	return filepath.Join(filepath.Dir(f), p)
 }
+
+// Names returns the key path of every setting, sorted.
+func Names() []string {
+	r, _ := newReader("", nil)
+	s := &Settings{reader: r}
+	s.read(r)
+	return slices.Sorted(maps.Keys(r.used))
+}
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -25,6 +25,7 @@
 	recorder    lavenderridge.Recorder
 	observer    lavenderridge.Observer
 	metrics     metrics.Registry
+	sourceOnly  bool
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
@@ -67,7 +68,7 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerquic.NewServer(d.transport, peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper))
+	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.configuration.spreader.Heard))
 	if d.entry, e = newEntryPart(d); e != nil {
 		return e
 	}
@@ -85,9 +86,11 @@
 	g.Go(func() error { return d.configuration.run(p) })
 	g.Go(func() error { return d.operator.run(p) })
 	g.Go(func() error { return d.owner.owner.Run(p) })
+	g.Go(func() error { return d.home.run(p) })
 	g.Go(func() error { return d.server.Serve(p) })
 	g.Go(func() error {
 		defer f()
+		defer d.home.stop(c, d.config.StopTimeout)
 		return d.serveCallers(c)
 	})
 	d.log.Info("DaemonStarted", zap.String("Instance", string(d.config.Instance)))
@@ -112,10 +115,12 @@
 		Incarnation: d.incarnation, Load: d.owner.load(), Leaving: d.owner.leaving(),
 		Ready: d.configuration.Ready(d.clock.Now()) == nil,
 	}
+	s.Home = d.home.homes.Status()
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
 	}
+	d.configuration.status(&s)
 	d.records.fill(&s)
 	return s
 }
@@ -142,7 +147,7 @@
 
 // peers returns the way to other daemons.
 func (d *Daemon) peers() lavenderridge.PeerDialer {
-	return d.transport
+	return peer.NewHearingDialer(d.transport, d.configuration.spreader.Heard)
 }
 
 func (d *Daemon) closeLater(f func() error) {
--- /dev/null
+++ b/internal/policy/configservice/gate_test.go
@@ -0,0 +1,67 @@
+package configservice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
+)
+
+// TestGate runs the golden file of the gate. Times are in milliseconds.
+func TestGate(t *testing.T) {
+	base := time.Unix(1_000, 0)
+	var g *configservice.Gate
+	epochs := map[string]configservice.Epoch{}
+	datadriven.RunTest(t, "testdata/gate", func(t *testing.T, d *datadriven.TestData) string {
+		var at, have, want int
+		var name string
+		d.MaybeScanArgs(t, "at", &at)
+		d.MaybeScanArgs(t, "have", &have)
+		d.MaybeScanArgs(t, "want", &want)
+		d.MaybeScanArgs(t, "contact", &name)
+		now := base.Add(time.Duration(at) * time.Millisecond)
+		switch d.Cmd {
+		case "start":
+			g = configservice.NewGate(now)
+		case "beat":
+			return fmt.Sprintf("paused %t\n", g.Beat(now))
+		case "begin":
+			epochs[name] = g.Epoch()
+		case "answer":
+			g.Open(epochs[name], lavenderridge.Versions{Catalogue: lavenderridge.Version(want)}, now)
+		case "ready":
+			if e := g.Ready(lavenderridge.Versions{Catalogue: lavenderridge.Version(have)}, now); e != nil {
+				return e.Error() + "\n"
+			}
+			return "ready\n"
+		}
+		return ""
+	})
+}
+
+// TestPlan prints when a daemon reads the source.
+func TestPlan(t *testing.T) {
+	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, d *datadriven.TestData) string {
+		var s configservice.ReadState
+		var fleet, failures, peerAge, sourceAge int
+		var random float64
+		d.MaybeScanArgs(t, "fleet", &fleet)
+		d.MaybeScanArgs(t, "failures", &failures)
+		d.MaybeScanArgs(t, "peer-age", &peerAge)
+		d.MaybeScanArgs(t, "source-age", &sourceAge)
+		d.MaybeScanArgs(t, "holds", &s.Holds)
+		d.MaybeScanArgs(t, "reads", &s.Reads)
+		d.MaybeScanArgs(t, "random", &random)
+		s.Fleet, s.Failures = fleet, failures
+		s.PeerAge, s.SourceAge = time.Duration(peerAge)*time.Second, time.Duration(sourceAge)*time.Second
+		p := configservice.PlanRead(s, random)
+		if d.Cmd == "first" {
+			p = configservice.PlanFirstRead(s, fleet, random)
+		}
+		return fmt.Sprintf("skip %t, delay %s, wait %s\n", p.Skip, p.Delay.Round(time.Millisecond), p.Wait)
+	})
+}
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -23,8 +23,24 @@
 	InstanceListDigest string
 	AcceptedAt         time.Time
 	Load               lavenderridge.Load
+	// Home tells which keyed requests the daemon may run.
+	Home lavenderridge.HomeStatus
 	// KeysNotAfter is when the daemon's certificate expires.
 	KeysNotAfter time.Time
 	// PeersRefused counts the handshakes with other daemons that were refused.
 	PeersRefused uint64
+	// CatalogueOrigin and InstanceListOrigin tell where the versions in force
+	// came from: the source or another daemon's instance.
+	CatalogueOrigin        lavenderridge.Origin
+	InstanceListOrigin     lavenderridge.Origin
+	CatalogueAcceptedAt    time.Time
+	InstanceListAcceptedAt time.Time
+	// Rejections are the versions that did not come into force of late.
+	Rejections []lavenderridge.Rejection
+	// SourceAge is the time since any daemon had an answer from the source, as
+	// far as this one has heard.
+	SourceAge time.Duration
+	// OwnSourceAge is the time since this daemon had one.
+	OwnSourceAge time.Duration
+	Neighbours   []lavenderridge.Neighbour
 }
--- a/internal/transport/peerquic/transport.go
+++ b/internal/transport/peerquic/transport.go
@@ -42,6 +42,7 @@
 	silence    time.Duration
 	registry   metrics.Registry
 	counters   counters
+	traffic    Traffic
 	start      time.Time
 	dials      *semaphore.Weighted
 	links      sync.Map // of lavenderridge.InstanceID to *link
@@ -68,10 +69,11 @@
 		return nil, fmt.Errorf("peerquic: %w", e)
 	}
 	t := &Transport{
-		quic: &quic.Transport{Conn: s, StatelessResetKey: r}, keys: k,
+		keys:       k,
 		maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
+	t.quic = &quic.Transport{Conn: newCountingConn(s, &t.traffic), StatelessResetKey: r}
 	for _, f := range o {
 		f(t)
 	}
@@ -171,7 +173,7 @@
 	if e != nil {
 		return nil, e
 	}
-	r := &quic.Transport{Conn: s}
+	r := &quic.Transport{Conn: newCountingConn(s, &t.traffic)}
 	n, e := r.Dial(c, u, k, q)
 	if e != nil {
 		return nil, errors.Join(e, r.Close(), s.Close())
