Seal a connection before saying that nothing was sent over it

Cause: the client read the count of written bytes after the HTTP library had returned; that NotRun was true because the library closes a cancelled connection before it returns, which is nothing to build on. Reading the count now forbids any later write, so the answer proves itself.

With every failure called NotRun the new test fails.

--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -339,3 +340,39 @@
 	_ = b.Close()
 	s.Close()
 }
+
+// TestNotRunIsTrueUnderCancellation cancels requests at about the moment at
+// which they are sent.
+func TestNotRunIsTrueUnderCancellation(t *testing.T) {
+	s := newStandin(t, 100, time.Millisecond)
+	b := newClient(t, s.Address(), 20)
+	var mutex sync.Mutex
+	notRun := map[lavenderridge.RequestID]bool{}
+	var g sync.WaitGroup
+	for i := range 16 {
+		g.Go(func() {
+			for j := range 500 {
+				r := request("POST", "x")
+				r.ID = lavenderridge.RequestID(fmt.Sprintf("%d-%d", i, j))
+				c, f := context.WithCancel(t.Context())
+				c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+					time.AfterFunc(time.Duration(j%100)*4*time.Microsecond, f)
+				}})
+				if _, e := b.Handle(c, r); e != nil && lavenderridge.AsRefusal(e).Outcome == lavenderridge.OutcomeNotRun {
+					mutex.Lock()
+					notRun[r.ID] = true
+					mutex.Unlock()
+				}
+				f()
+			}
+		})
+	}
+	g.Wait()
+	time.Sleep(200 * time.Millisecond)
+	for id, n := range s.Runs() {
+		if notRun[id] {
+			t.Errorf("%s was refused as not run and ran %d times", id, n)
+		}
+	}
+	t.Logf("%d refused as not run, %d ran", len(notRun), len(s.Runs()))
+}
--- a/internal/transport/backendhttp/sending.go
+++ b/internal/transport/backendhttp/sending.go
@@ -22,8 +22,9 @@
 	}}
 }
 
-// began reports whether any byte may have been sent.
+// began reports whether any byte may have been sent. No byte is sent after it
+// has reported false.
 func (s *sending) began() bool {
 	n := s.connection.Load()
-	return n != nil && n.written.Load() > s.before.Load()
+	return n != nil && n.seal() > s.before.Load()
 }
