Let a suspect wait while another one runs alone

Cause: when a popular request was in flight at a crash, one copy ran alone and all others were refused SuspectBusy, which entry daemons do not retry.

They now wait, 20 ms at a time and a second at most, and run freely once the one has cleared them.

--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -16,6 +16,11 @@
 	// aloneTimeout bounds how long a request that must run alone may hold up
 	// others while it waits for them to end.
 	aloneTimeout = time.Second
+	// defaultPatience bounds how long a suspect waits while another runs alone,
+	// and maxSuspectsWaiting how many do.
+	defaultPatience    = time.Second
+	maxSuspectsWaiting = 256
+	trialPeriod        = 20 * time.Millisecond
 	// leavingRetryAfter is the wait that a refusal advises when other
 	// instances should be asked instead.
 	leavingRetryAfter = time.Second
@@ -38,6 +43,8 @@
 	suspects  *backendserver.Suspects
 	drain     *backendserver.Drain
 
+	patience     time.Duration
+	patient      atomic.Int64
 	outOfService atomic.Bool
 	unreachable  atomic.Bool
 	crashedAt    atomic.Int64 // wall time of the last crash, in nanoseconds
@@ -53,6 +60,7 @@
 func NewOwnerHandler(s lavenderridge.SnapshotSource, f func() lavenderridge.Sender, b lavenderridge.BackendServer, o ...OwnerOption) *OwnerHandler {
 	h := &OwnerHandler{
 		snapshots: s, self: f, backend: b, clock: defaults{}, recorder: defaults{}, readiness: defaults{},
+		patience: defaultPatience,
 		suspects: backendserver.NewSuspects(), drain: backendserver.NewDrain(),
 	}
 	for _, v := range o {
@@ -75,13 +83,41 @@
 	if e != nil {
 		return nil, e
 	}
-	j, w := h.suspects.Judge(r, t)
-	if j == backendserver.Refused {
-		return nil, h.notRun(lavenderridge.ReasonQuarantined, "the request crashed a backend server", w)
+	for b := t; ; t = h.clock.Now() {
+		j, w := h.suspects.Judge(r, t)
+		switch j {
+		case backendserver.Refused:
+			return nil, h.notRun(lavenderridge.ReasonQuarantined, "the request crashed a backend server", w)
+		case backendserver.RunsFreely:
+			return h.handleFreely(c, v, r, t)
+		}
+		p, e := h.handleAlone(c, v, r, t)
+		if e == nil || !h.waitForTrial(c, e, t.Sub(b)) {
+			return p, e
+		}
 	}
-	if j == backendserver.RunsAlone {
-		return h.handleAlone(c, v, r, t)
+}
+
+// waitForTrial waits a little when e tells that another suspect runs alone, and
+// reports whether to judge the request again: a popular one may be cleared
+// meanwhile. The request has waited for d.
+func (h *OwnerHandler) waitForTrial(c context.Context, e error, d time.Duration) bool {
+	defer h.patient.Add(-1)
+	if n := h.patient.Add(1); n > maxSuspectsWaiting || d >= h.patience || lavenderridge.AsRefusal(e).Reason != lavenderridge.ReasonSuspectBusy {
+		return false
 	}
+	k := time.NewTimer(trialPeriod)
+	defer k.Stop()
+	select {
+	case <-k.C:
+		return true
+	case <-c.Done():
+		return false
+	}
+}
+
+// handleFreely runs a request that is not suspected.
+func (h *OwnerHandler) handleFreely(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
 	x, e := h.admission.Enter(v, r.Class, r.Deadline, t)
 	if e != nil {
 		return nil, h.placed(e)
--- a/internal/daemon/backendserver/owneroption.go
+++ b/internal/daemon/backendserver/owneroption.go
@@ -1,6 +1,8 @@
 package backendserver
 
 import (
+	"time"
+
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 )
@@ -27,3 +29,8 @@
 func WithLimiterOptions(o ...backendserver.LimiterOption) OwnerOption {
 	return func(h *OwnerHandler) { h.limiterOptions = o }
 }
+
+// WithPatience sets how long a suspect waits while another runs alone.
+func WithPatience(d time.Duration) OwnerOption {
+	return func(h *OwnerHandler) { h.patience = d }
+}
--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -90,10 +90,10 @@
 		Services:    []lavenderridge.Service{v},
 	}
 	l := &lavenderridge.InstanceList{Instances: []lavenderridge.Instance{{ID: "a", DataCentre: "fukuoka", Service: "billing", State: lavenderridge.InstanceLive}}}
-	if d.HasArg("out") {
+	if d != nil && d.HasArg("out") {
 		c.DataCentres[0].State = lavenderridge.OutOfService
 	}
-	if d.HasArg("leaving") {
+	if d != nil && d.HasArg("leaving") {
 		l.Instances[0].State = lavenderridge.InstanceLeaving
 	}
 	s.mutex.Lock()
@@ -241,7 +241,7 @@
 			o = append(o, policy.WithFixedLimit())
 		}
 		s.owner = backendserver.NewOwnerHandler(s, func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a"} }, s,
-			backendserver.WithClock(s), backendserver.WithRecorder(s), backendserver.WithLimiterOptions(o...))
+			backendserver.WithClock(s), backendserver.WithRecorder(s), backendserver.WithLimiterOptions(o...), backendserver.WithPatience(0))
 		s.owner.Check(context.Background())
 	case "publish":
 		s.publish(d, *s.Snapshot().Service("billing"))
