Skip the copy when a neighbour's suspects tell nothing new

Cause: each exchange copied the whole set of suspects, also without news. With 1,024 records and 32 taken in: before 117 us and 131 KB for each exchange, after 2.0 us and nothing.

--- a/internal/policy/backendserver/suspects.go
+++ b/internal/policy/backendserver/suspects.go
@@ -127,21 +127,20 @@
 
 // Merge implements lavenderridge.SuspectStore.
 func (s *Suspects) Merge(a []lavenderridge.Suspect, t time.Time) {
-	if len(a) == 0 {
+	m := *s.records.Load()
+	if !slices.ContainsFunc(a, func(v lavenderridge.Suspect) bool { return isNews(m, v, t) }) {
 		return
 	}
-	s.update(t, func(m suspectMap) bool {
-		c := false
+	s.update(t, func(m suspectMap) {
 		for _, v := range a {
-			c = mergeOne(m, v, t) || c
+			if isNews(m, v, t) {
+				m[v.Fingerprint] = newSuspectRecord(v, t).after(m[v.Fingerprint])
+			}
 		}
-		return c
 	})
 }
 
-// mergeOne puts v into m if it tells of a later event or, of the same event,
-// of a higher state. It reports whether it did.
-func mergeOne(m suspectMap, v lavenderridge.Suspect, t time.Time) bool {
+func newSuspectRecord(v lavenderridge.Suspect, t time.Time) suspectRecord {
 	n := suspectRecord{service: v.Service, expires: t.Add(min(v.Remaining, suspectLifetime))}
 	switch {
 	case v.Quarantined:
@@ -149,12 +148,14 @@
 	case v.Cleared:
 		n.state = stateCleared
 	}
+	return n
+}
+
+// isNews reports whether v tells of a later event than the record in m or, of
+// the same event, of a higher state.
+func isNews(m suspectMap, v lavenderridge.Suspect, t time.Time) bool {
 	o, k := m[v.Fingerprint]
-	if k && !n.follows(o) {
-		return false
-	}
-	m[v.Fingerprint] = n.after(o)
-	return true
+	return !k || newSuspectRecord(v, t).follows(o)
 }
 
 func (n suspectRecord) follows(o suspectRecord) bool {
@@ -172,21 +173,15 @@
 }
 
 func (s *Suspects) put(f lavenderridge.Fingerprint, v suspectRecord, t time.Time) {
-	s.update(t, func(m suspectMap) bool {
-		m[f] = v.after(m[f])
-		return true
-	})
+	s.update(t, func(m suspectMap) { m[f] = v.after(m[f]) })
 }
 
-// update replaces the map by a changed copy without what has expired, unless
-// f reports that it changed nothing.
-func (s *Suspects) update(t time.Time, f func(m suspectMap) bool) {
+// update replaces the map by a copy that f changed, without what has expired.
+func (s *Suspects) update(t time.Time, f func(m suspectMap)) {
 	for {
 		o := s.records.Load()
 		m := maps.Clone(*o)
-		if !f(m) {
-			return
-		}
+		f(m)
 		maps.DeleteFunc(m, func(_ lavenderridge.Fingerprint, v suspectRecord) bool { return !t.Before(v.expires) })
 		bound(m)
 		if s.records.CompareAndSwap(o, &m) {
--- a/internal/policy/backendserver/suspects_test.go
+++ b/internal/policy/backendserver/suspects_test.go
@@ -155,3 +155,27 @@
 		t.Errorf("%d records sent", len(a))
 	}
 }
+
+// BenchmarkSuspects measures a full store: judging a request, and taking in
+// the records of one neighbour that tell nothing new.
+func BenchmarkSuspects(b *testing.B) {
+	n := time.Unix(1000, 0)
+	s := backendserver.NewSuspects()
+	for i := range 1024 {
+		s.Crashed(&lavenderridge.Request{Path: fmt.Sprint(i)}, false, n)
+	}
+	r := &lavenderridge.Request{Method: "POST", Path: "/roster/1", Body: make([]byte, 256)}
+	b.Run("Judge", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Judge(r, n)
+		}
+	})
+	a := s.Suspects(n)
+	b.Run("Merge", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Merge(a, n)
+		}
+	})
+}
