--- a/internal/cmd/lavenderridge/owner_test.go
+++ b/internal/cmd/lavenderridge/owner_test.go
@@ -23,19 +23,22 @@
 
 // ownerMesh is one service of a few daemons as separate processes.
 type ownerMesh struct {
-	list   lavenderridge.InstanceList
-	source *configservice.Server
-	all    []*process
+	binary    string
+	address   string
+	authority *peertls.Authority
+	list      lavenderridge.InstanceList
+	source    *configservice.Server
+	all       []*process
 }
 
 func startOwnerMesh(t *testing.T, n int) *ownerMesh {
 	t.Helper()
-	binary := buildBinary(t)
-	m := &ownerMesh{source: configservice.NewServer(0)}
+	m := &ownerMesh{binary: buildBinary(t), source: configservice.NewServer(0)}
 	h := httptest.NewServer(m.source)
 	t.Cleanup(h.Close)
-	a, e := peertls.NewAuthority(time.Now(), time.Hour)
-	if e != nil {
+	m.address = strings.TrimPrefix(h.URL, "http://")
+	var e error
+	if m.authority, e = peertls.NewAuthority(time.Now(), time.Hour); e != nil {
 		t.Fatal(e)
 	}
 	for i := range n {
@@ -47,17 +50,27 @@
 	m.publishList(t)
 	m.source.Publish(lavenderridge.DocumentCatalogue, fmt.Appendf(nil, endToEndCatalogue, lavenderridge.InService))
 	for _, i := range m.list.Instances {
-		m.all = append(m.all, startProcess(t, binary, strings.TrimPrefix(h.URL, "http://"), a, i))
+		m.all = append(m.all, m.start(t, i))
 	}
 	for _, p := range m.all {
-		eventually(t, 10*time.Second, string(p.instance.ID)+" answers", func() bool {
-			s, _, _, e := get("http://" + p.caller + "/roster/1")
-			return e == nil && s == http.StatusOK
-		})
+		awaitAnswer(t, p)
 	}
 	return m
 }
 
+func (m *ownerMesh) start(t *testing.T, n lavenderridge.Instance) *process {
+	t.Helper()
+	return startProcess(t, m.binary, m.address, m.authority, n)
+}
+
+func awaitAnswer(t *testing.T, p *process) {
+	t.Helper()
+	eventually(t, 10*time.Second, string(p.instance.ID)+" answers", func() bool {
+		s, _, _, e := get("http://" + p.caller + "/roster/1")
+		return e == nil && s == http.StatusOK
+	})
+}
+
 func (m *ownerMesh) publishList(t *testing.T) {
 	t.Helper()
 	b, e := instancesjson.Format(&m.list)
@@ -170,37 +183,41 @@
 	t.Logf("%d of %d answered", good, before)
 }
 
-// TestRollingReplacement stops one daemon of three by SIGTERM while all take
-// load. No request that a backend server began is cut.
+// TestRollingReplacement replaces three daemons of four in turn by SIGTERM,
+// while callers at the fourth send requests. No request that a backend server
+// began is cut, and no caller is told that a request may have run.
 func TestRollingReplacement(t *testing.T) {
-	m := startOwnerMesh(t, 3)
-	l := startLoad(t, 12, "100ms", m.all[0].caller, m.all[1].caller)
-	time.Sleep(2 * time.Second)
-	p := m.all[2]
-	begun := time.Now()
-	if e := p.stop(); e != nil {
-		t.Errorf("stop: %v\n%s", e, p.output)
+	m := startOwnerMesh(t, 4)
+	l := startLoad(t, 12, "50ms", m.all[3].caller)
+	all := m.all
+	for _, p := range m.all[:3] {
+		time.Sleep(500 * time.Millisecond)
+		begun := time.Now()
+		if e := p.stop(); e != nil {
+			t.Errorf("stop: %v\n%s", e, p.output)
+		}
+		t.Logf("%s ended after %s, with %d runs", p.instance.ID, time.Since(begun).Round(time.Millisecond), len(p.backend.Record()))
+		n := m.start(t, p.instance)
+		all = append(all, n)
+		eventually(t, 10*time.Second, "the new daemon runs requests", func() bool { return len(n.backend.Record()) > 1 })
 	}
-	t.Logf("the daemon ended after %s", time.Since(begun).Round(time.Millisecond))
-	ended := time.Now()
-	time.Sleep(300 * time.Millisecond)
 	answers := l.end()
-	good := checkOutcomes(t, m.all, answers)
-	for _, p := range m.all {
+	good := checkOutcomes(t, all, answers)
+	for _, p := range all {
 		for _, r := range p.backend.Record() {
 			if r.State != backendserver.RunFinished {
 				t.Errorf("%s: run %+v", p.instance.ID, r)
 			}
 		}
 	}
-	if n := len(p.backend.Record()); n < 10 || p.backend.Record()[n-1].Begun.After(ended) {
-		t.Errorf("%d runs at the stopped instance", n)
-	}
 	for _, a := range answers {
 		if a.status != http.StatusOK && a.outcome != lavenderridge.OutcomeNotRun.String() {
 			t.Errorf("answer %+v", a)
 		}
 	}
+	if 100*good < 98*len(answers) {
+		t.Errorf("%d of %d answered", good, len(answers))
+	}
 	t.Logf("%d of %d answered", good, len(answers))
 }
 
