Find what a backend server bears when it bears less than its slots

The usual latency, an average, learnt the overload within a second, and the limit went back up by one in each round.

Latency alone no longer takes the limit below half of the slots, since slow requests may be another kind.

--- a/internal/policy/backendserver/limiter.go
+++ b/internal/policy/backendserver/limiter.go
@@ -17,6 +17,8 @@
 	maxSetbacks = 3
 	// cutInterval is the shortest time between two reductions.
 	cutInterval = 100 * time.Millisecond
+	// cutHold is how long the limit rises slowly after a reduction.
+	cutHold = 5 * time.Second
 	// bootInterval is the shortest time between a restart of the ramp and one
 	// that only a boot mark asks for.
 	bootInterval = 10 * time.Second
@@ -27,12 +29,18 @@
 
 	freshWeight = 8
 	usualWeight = 128
+	slowWeight  = 4096
 	// slowRatio and slowMargin tell a slow backend server: its fresh latency
 	// exceeds the usual one by both.
 	slowRatio  = 2
 	slowMargin = 2 * time.Millisecond
 	// slowCut is the percentage of the limit that remains when it slows.
 	slowCut = 90
+	// slowFloor bounds what latency alone can do: the limit keeps one part in
+	// slowFloor of the slots, for slow requests may just be another kind.
+	slowFloor = 2
+	// halfCut is the percentage that remains when it sheds or times out.
+	halfCut = 50
 	// hungRatio tells a request that timed out for the backend server's sake
 	// from one whose deadline was too short.
 	hungRatio = 4
@@ -114,20 +122,28 @@
 	}
 	switch {
 	case s:
-		l.reduce(slowCut, t)
+		l.reduce(slowCut, int64(n)*milliSlots/slowFloor, t)
 	case l.ramping.Load():
 		l.raiseRamp(n, t)
 	default:
-		l.raise(n)
+		l.raise(n, t)
 	}
 }
 
 // observe adds the latency d and reports whether the backend server is slow.
+// While it is, the usual latency hardly moves, or it would soon call the
+// overload usual.
 func (l *Limiter) observe(d time.Duration) bool {
 	n := l.samples.Add(1)
 	f := average(&l.fresh, int64(d), min(n, freshWeight))
-	u := average(&l.usual, int64(d), min(n, usualWeight))
-	return n > freshWeight && f > slowRatio*u && f > u+int64(slowMargin)
+	u := l.usual.Load()
+	s := n > freshWeight && f > slowRatio*u && f > u+int64(slowMargin)
+	w := int64(usualWeight)
+	if s {
+		w = slowWeight
+	}
+	average(&l.usual, int64(d), min(n, w))
+	return s
 }
 
 // average moves v towards x by one part in w. A concurrent sample may be lost.
@@ -165,18 +181,26 @@
 	return c > 0 && v/milliSlots >= c && s-l.began.Load() < h
 }
 
-// raise adds one slot in each round of requests.
-func (l *Limiter) raise(n lavenderridge.Slots) {
-	v := l.limit.Load()
-	if m := int64(n) * milliSlots; v < m {
+// raise adds one slot in each round of requests, but for a while after a cut
+// only one in each step, so as not to return at once to what was too much.
+func (l *Limiter) raise(n lavenderridge.Slots, t time.Time) {
+	v, m, s := l.limit.Load(), int64(n)*milliSlots, l.since(t)
+	if v >= m {
+		return
+	}
+	if c := l.cut.Load(); c == 0 || s-c >= int64(cutHold) {
 		l.limit.CompareAndSwap(v, min(v+milliSlots*milliSlots/v, m))
+		return
+	}
+	if r := l.raised.Load(); s-r >= int64(rampStep) && l.raised.CompareAndSwap(r, s) {
+		l.limit.CompareAndSwap(v, min(v+milliSlots, m))
 	}
 }
 
 // Shed tells that the backend server refused a request. It reports whether the
 // ramp begins again.
 func (l *Limiter) Shed(t time.Time) bool {
-	l.reduce(50, t)
+	l.reduce(halfCut, milliSlots, t)
 	return l.Failed(t)
 }
 
@@ -186,7 +210,7 @@
 	if d < hungTime && int64(d) < hungRatio*l.usual.Load() {
 		return false
 	}
-	l.reduce(50, t)
+	l.reduce(halfCut, milliSlots, t)
 	return l.Failed(t)
 }
 
@@ -206,7 +230,7 @@
 // failure. It reports whether a new boot mark makes the ramp begin again.
 func (l *Limiter) Hint(h lavenderridge.Health, t time.Time) bool {
 	if !h.Ready && l.since(t)-l.failedAt.Load() < int64(failureMemory) {
-		l.reduce(50, t)
+		l.reduce(halfCut, milliSlots, t)
 	}
 	return l.marked(h.Boot, t)
 }
@@ -248,14 +272,15 @@
 	l.begin(l.since(t))
 }
 
-// reduce lowers the limit to p percent, at most once in an interval.
-func (l *Limiter) reduce(p int64, t time.Time) {
+// reduce lowers the limit to p percent but not below f, at most once in an
+// interval.
+func (l *Limiter) reduce(p, f int64, t time.Time) {
 	s, o := l.since(t), l.cut.Load()
 	if s-o < max(int64(cutInterval), l.fresh.Load()) || !l.cut.CompareAndSwap(o, s) {
 		return
 	}
 	v := l.limit.Load()
-	l.limit.CompareAndSwap(v, max(milliSlots, v*p/100))
+	l.limit.CompareAndSwap(v, min(v, max(f, milliSlots, v*p/100)))
 	l.raised.Store(s)
 	l.answered.Store(0)
 }
