Keep the decisions of each event in a ring of their own

Homes record each refused key as a decision, so under a burst of those the one ring would have lost VersionAccepted and the like. Two rings, decisions and refusals, were the first try and did not cover that. Each event now keeps its latest 512 (Operator.Decisions).

--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -26,8 +26,8 @@
 	maxConnections     = 100_000
 	defaultFleetSize   = 500
 	maxFleetSize       = 100_000
-	defaultDecisions   = 4096
-	maxDecisions       = 1 << 20
+	defaultDecisions   = 512
+	maxDecisions       = 1 << 16
 	defaultReload      = 10 * time.Second
 	minReload          = 100 * time.Millisecond
 	maxReload          = time.Hour
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -21,8 +21,8 @@
 	MaxBody       lavenderridge.ByteCount
 	// StopTimeout bounds the wait for running requests at a planned stop.
 	StopTimeout time.Duration
-	// Decisions bounds the recent decisions that are kept; zero means the
-	// default.
+	// Decisions bounds the recent decisions that are kept of each event; zero
+	// means the default.
 	Decisions int
 	// KeyFiles are read again at intervals of KeyReload; zero means never.
 	KeyFiles  peertls.Files
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -15,8 +15,9 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
-// defaultDecisions bounds the recent decisions that a daemon keeps.
-const defaultDecisions = 4096
+// defaultDecisions bounds the recent decisions that a daemon keeps of each
+// event.
+const defaultDecisions = 512
 
 // operatorRecords is what the daemon keeps for operators.
 type operatorRecords struct {
--- a/internal/daemon/operator/journal.go
+++ b/internal/daemon/operator/journal.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"sync/atomic"
 
 	"github.com/lavenderridge/lavenderridge"
 )
@@ -11,12 +13,15 @@
 // backend server.
 const requestRefused = "RequestRefused"
 
-// A Journal keeps recent decisions and recent refusals of callers' requests,
-// each in a ring of its own, so that a burst of refusals drives out no other
-// decision.
+// maxEvents bounds the events that are kept; there are far fewer.
+const maxEvents = 64
+
+// A Journal keeps the recent decisions of each event and the recent refusals
+// of callers' requests. Each event has a ring of its own, so that a burst of
+// one drives out no other.
 type Journal struct {
-	decisions *DecisionRing
-	refusals  *DecisionRing
+	rings    *copyMap[string, *DecisionRing]
+	recorded atomic.Uint64
 }
 
 var (
@@ -24,15 +29,17 @@
 	_ lavenderridge.Observer = (*Journal)(nil)
 )
 
-// NewJournal returns a journal that keeps the latest n decisions and as many
-// refusals.
+// NewJournal returns a journal that keeps the latest n decisions of each event.
 func NewJournal(n int) *Journal {
-	return &Journal{decisions: NewDecisionRing(n), refusals: NewDecisionRing(n)}
+	return &Journal{rings: newCopyMap(maxEvents, func(string) *DecisionRing { return NewDecisionRing(n) })}
 }
 
 // Record implements lavenderridge.Recorder.
 func (j *Journal) Record(d lavenderridge.Decision) {
-	j.decisions.Record(d)
+	j.recorded.Add(1)
+	if r, o := j.rings.get(d.Event); o {
+		r.Record(d)
+	}
 }
 
 // Observe implements lavenderridge.Observer.
@@ -40,7 +47,7 @@
 	if o.Refusal == nil {
 		return
 	}
-	j.refusals.Record(lavenderridge.Decision{
+	j.Record(lavenderridge.Decision{
 		Time: o.Time, Event: requestRefused, Subject: string(o.Request), Reason: refusalReason(&o), Versions: o.Versions,
 	})
 }
@@ -53,13 +60,18 @@
 // Recorded returns how many decisions and refusals have been recorded since
 // the start.
 func (j *Journal) Recorded() uint64 {
-	return j.decisions.Recorded() + j.refusals.Recorded()
+	return j.recorded.Load()
 }
 
 // Decisions returns the latest n decisions and refusals for which f is true,
 // oldest first.
 func (j *Journal) Decisions(n int, f func(d *lavenderridge.Decision) bool) []lavenderridge.Decision {
-	a := slices.Concat(j.decisions.Decisions(n, f), j.refusals.Decisions(n, f))
-	slices.SortStableFunc(a, func(a, b lavenderridge.Decision) int { return a.Time.Compare(b.Time) })
+	a := []lavenderridge.Decision{}
+	for _, r := range j.rings.all() {
+		a = append(a, r.Decisions(n, f)...)
+	}
+	slices.SortStableFunc(a, func(a, b lavenderridge.Decision) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Event, b.Event))
+	})
 	return a[max(0, len(a)-n):]
 }
--- a/internal/daemon/operator/journal_test.go
+++ b/internal/daemon/operator/journal_test.go
@@ -48,3 +48,17 @@
 		return ""
 	})
 }
+
+func BenchmarkJournalRefusal(b *testing.B) {
+	j := operator.NewJournal(512)
+	o := lavenderridge.Observation{
+		Time: time.Unix(1e9, 0), Request: "r-1", Entry: "roster-read",
+		Refusal: lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "no slot"),
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			j.Observe(o)
+		}
+	})
+}
--- a/internal/policy/operator/series_test.go
+++ b/internal/policy/operator/series_test.go
@@ -58,3 +58,15 @@
 	}
 	return c
 }
+
+// BenchmarkSeriesMemory fills every bin of a series; its bytes for each
+// operation are the memory of one pair of entry and data centre.
+func BenchmarkSeriesMemory(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		s := &operator.Series{}
+		for m := range int64(6*60 + 1) {
+			s.Add(time.Unix(60*m, 0), true)
+		}
+	}
+}
