--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -56,6 +56,7 @@
 	instance lavenderridge.Instance
 	backend  *backendserver.Server
 	command  *exec.Cmd
+	settings string
 	caller   string
 	operator string
 	output   *bytes.Buffer
@@ -72,9 +73,12 @@
 // kill ends the daemon at once.
 func (p *process) kill(t *testing.T) {
 	t.Helper()
+	if p.ended {
+		return
+	}
 	p.ended = true
 	if e := p.command.Process.Kill(); e != nil {
-		t.Fatal(e)
+		t.Error(e)
 	}
 	_ = p.command.Wait()
 }
@@ -114,6 +118,32 @@
 }
 
 func startProcess(t *testing.T, binary, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
+	t.Helper()
+	p := prepareProcess(t, source, a, n)
+	p.start(t, binary)
+	t.Cleanup(func() {
+		if p.ended {
+			return
+		}
+		if e := p.stop(); e != nil {
+			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
+		}
+	})
+	return p
+}
+
+// start runs the daemon, for the first time or again.
+func (p *process) start(t *testing.T, binary string) {
+	t.Helper()
+	p.ended = false
+	p.command = exec.Command(binary, "serve", p.settings)
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	if e := p.command.Start(); e != nil {
+		t.Fatal(e)
+	}
+}
+
+func prepareProcess(t *testing.T, source string, a *peertls.Authority, n lavenderridge.Instance) *process {
 	t.Helper()
 	d := t.TempDir()
 	c, e := a.Issue(peertls.Identity{Instance: n.ID, DataCentre: n.DataCentre}, time.Now(), time.Hour)
@@ -140,19 +170,7 @@
 	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
 		n.ID, n.DataCentre, n.Service, source, b.Address(), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
-	p.command = exec.Command(binary, "serve", write("settings.toml", []byte(s)))
-	p.command.Stdout, p.command.Stderr = p.output, p.output
-	if e := p.command.Start(); e != nil {
-		t.Fatal(e)
-	}
-	t.Cleanup(func() {
-		if p.ended {
-			return
-		}
-		if e := p.stop(); e != nil {
-			t.Errorf("%s: %v\n%s", n.ID, e, p.output)
-		}
-	})
+	p.settings = write("settings.toml", []byte(s))
 	return p
 }
 
