--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"slices"
@@ -25,6 +26,9 @@
 
 const (
 	loopback     = "127.0.0.1:0"
+	lowestPort   = 12000
+	highestPort  = 32000
+	portTries    = 100
 	keyLifetime  = 24 * time.Hour
 	stopTimeout  = 10 * time.Second
 	maxBody      = lavenderridge.Mebibyte
@@ -154,13 +158,20 @@
 	return nil
 }
 
+// freeUDPAddress returns an address that nothing listens on. Its port is below
+// those that the system gives to outgoing connections, one of which might
+// otherwise take it before the daemon that it is for.
 func freeUDPAddress() (lavenderridge.Address, error) {
-	c, e := net.ListenPacket("udp", loopback)
-	if e != nil {
-		return "", fmt.Errorf("mesh: %w", e)
+	var x error
+	for range portTries {
+		a := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.N(highestPort-lowestPort))
+		c, e := net.ListenPacket("udp", a)
+		if e == nil {
+			return lavenderridge.Address(a), c.Close()
+		}
+		x = e
 	}
-	defer func() { _ = c.Close() }()
-	return lavenderridge.Address(c.LocalAddr().String()), nil
+	return "", fmt.Errorf("mesh: no free port: %w", x)
 }
 
 // Start runs the daemon of the member n, which must not run yet.
