Leave callers that went away out of the burn report

Cause: a caller that cancels counted as a bad request of the entry, so one impatient caller burned another's objective. The golden session shows "observed true" with the old handler and false with the new one. A deadline that passed still counts.

--- a/internal/daemon/caller/observehandler.go
+++ b/internal/daemon/caller/observehandler.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// An ObserveHandler tells an observer how each request went.
+// An ObserveHandler tells an observer how each request went. It leaves out
+// those whose caller went away before the answer: they tell nothing of the
+// service.
 type ObserveHandler struct {
 	observer   lavenderridge.Observer
 	clock      lavenderridge.Clock
@@ -27,6 +30,9 @@
 func (h *ObserveHandler) HandleIn(c context.Context, s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	b := h.clock.Now()
 	p, v := h.next.HandleIn(c, s, e, r)
+	if errors.Is(c.Err(), context.Canceled) {
+		return p, v
+	}
 	t := h.clock.Now()
 	o := lavenderridge.Observation{
 		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b),
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -194,12 +194,20 @@
 		s.attempts, s.observed = nil, lavenderridge.Observation{}
 		q := *r
 		// The scripted clock is far ahead, so that the real one ends no context.
-		p, e := s.handler.Handle(context.Background(), &q)
+		c, f := context.WithCancel(context.Background())
+		if d.HasArg("gone") {
+			f()
+		}
+		p, e := s.handler.Handle(c, &q)
+		f()
 		for _, a := range s.attempts {
 			fmt.Fprintln(&b, a)
 		}
 		if e != nil {
 			v := lavenderridge.AsRefusal(e)
+			if d.HasArg("gone") {
+				fmt.Fprintf(&b, "observed %t\n", s.observed.Entry != "")
+			}
 			fmt.Fprintf(&b, "refused by %s: %s %s retried=%t retry-after=%s\n", v.Place, v.Outcome, v.Reason, v.Retried, v.RetryAfter)
 			continue
 		}
