Bound the time in which a caller's body must arrive

Cause: a caller that stopped in the middle of its body held a goroutine for ever. http.Server.ReadTimeout was ruled out: it would end the wait for the caller's disconnect as well, and so cancel requests that run longer. The deadline is set for the body alone and taken away afterwards.

TestBodyTimeout gets no answer within 2 s without the bound, and NotRun BadRequest with it.

--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -35,8 +35,10 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeader         = 64 << 10
-	maxRequestID      = 128
+	// defaultBodyTimeout lets a body of 1 MiB arrive at 0.3 Mbit/s.
+	defaultBodyTimeout = 30 * time.Second
+	maxHeader          = 64 << 10
+	maxRequestID       = 128
 )
 
 // A Server answers callers by a handler.
@@ -44,12 +46,14 @@
 	*kratoshttp.Server
 	handler lavenderridge.Handler
 	maxBody lavenderridge.ByteCount
+	// bodyTimeout bounds the arrival of one body.
+	bodyTimeout time.Duration
 }
 
 // NewServer returns a server on the listener l that passes requests to h and
 // refuses bodies above m bytes.
 func NewServer(l net.Listener, h lavenderridge.Handler, m lavenderridge.ByteCount) *Server {
-	s := &Server{handler: h, maxBody: m}
+	s := &Server{handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout}
 	s.Server = kratoshttp.NewServer(
 		kratoshttp.Listener(l),
 		kratoshttp.Address(l.Addr().String()),
@@ -64,7 +68,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
-	b, e := io.ReadAll(http.MaxBytesReader(w, q.Body, int64(s.maxBody)))
+	b, e := s.readBody(w, q)
 	if e != nil {
 		writeRefusal(w, bodyRefusal(e))
 		return
@@ -83,6 +87,20 @@
 	writeResponse(w, p)
 }
 
+// readBody returns the whole body, which must arrive within a bound. Without a
+// deadline afterwards, the server hears when the caller goes away.
+func (s *Server) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
+	c := http.NewResponseController(w)
+	if e := c.SetReadDeadline(time.Now().Add(s.bodyTimeout)); e != nil {
+		return nil, e
+	}
+	b, e := io.ReadAll(http.MaxBytesReader(w, q.Body, int64(s.maxBody)))
+	if e != nil {
+		return nil, e
+	}
+	return b, c.SetReadDeadline(time.Time{})
+}
+
 // bodyRefusal tells a body that is too large from one that broke off.
 func bodyRefusal(e error) *lavenderridge.Refusal {
 	var m *http.MaxBytesError
