Give others time also after a lone request that gave up

Cause: a suspect that waited a second for a long request to end, and then gave up, left no time to the requests that it had held back, so that a caller who kept sending it could hold up a backend server for good. The test failed without the mechanism (the second lone request was let in at once).

--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -64,14 +64,12 @@
 	}
 }
 
-// LeaveAlone gives back the slot of a request that EnterAlone admitted. The
-// next may run alone only after others could run for as long as this one kept
-// them waiting.
+// LeaveAlone gives back the slot of a request that EnterAlone admitted.
 func (a *Admission) LeaveAlone(t time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.aloneRuns = false
-	a.aloneFrom = t.Add(t.Sub(a.blocked))
+	a.leaveTime(t)
 	a.state.Add(-1)
 	a.markAlone(t)
 	a.serve(t)
@@ -217,12 +215,21 @@
 func (a *Admission) remove(i int, t time.Time) {
 	if a.queue[i].alone {
 		a.aloneAsks--
+		a.leaveTime(t)
 	}
 	a.queue = slices.Delete(a.queue, i, i+1)
 	a.waiting.Add(-1)
 	a.markAlone(t)
 }
 
+// leaveTime lets the next request run alone only after others could run for as
+// long as this one has kept them waiting.
+func (a *Admission) leaveTime(t time.Time) {
+	if a.state.Load()&aloneBit != 0 {
+		a.aloneFrom = t.Add(t.Sub(a.blocked))
+	}
+}
+
 // markAlone keeps aloneBit in step with the queue.
 func (a *Admission) markAlone(t time.Time) {
 	if !a.aloneRuns && (len(a.queue) == 0 || !a.queue[0].alone) {
--- a/internal/policy/backendserver/admission_test.go
+++ b/internal/policy/backendserver/admission_test.go
@@ -283,3 +283,30 @@
 		}
 	})
 }
+
+// TestLoneRequestsLeaveTimeToOthers lets a request that must run alone give up
+// while it holds up others. The next may not hold them up at once.
+func TestLoneRequestsLeaveTimeToOthers(t *testing.T) {
+	n := time.Unix(1000, 0)
+	a := backendserver.NewAdmission(backendserver.NewLimiter(n, backendserver.WithFixedLimit()))
+	v := &lavenderridge.Service{Slots: 2, Connections: 130, Queue: 2}
+	end := n.Add(time.Minute)
+	if w, e := a.Enter(v, lavenderridge.ClassNormal, end, n); w != nil || e != nil {
+		t.Fatal(w, e)
+	}
+	w, e := a.EnterAlone(v, lavenderridge.ClassNormal, end, n)
+	if e != nil {
+		t.Fatal(e)
+	}
+	n = n.Add(time.Second)
+	a.Abandon(w, n)
+	if _, e = a.EnterAlone(v, lavenderridge.ClassNormal, end, n); e == nil || lavenderridge.AsRefusal(e).RetryAfter != time.Second {
+		t.Errorf("a second one at once: %v", e)
+	}
+	if w, e := a.Enter(v, lavenderridge.ClassNormal, end, n); w != nil || e != nil {
+		t.Error("another request does not run:", e)
+	}
+	if w, e = a.EnterAlone(v, lavenderridge.ClassNormal, end, n.Add(time.Second)); w == nil || e != nil {
+		t.Errorf("a second one later: %v", e)
+	}
+}
