--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -56,7 +56,7 @@
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
 		newMeasureGoodputCmd(n, w), newMeasureRestartCmd(n, w),
 		newMeasureConvergenceCmd(p, w),
-		newMeasureLatencyCmd(p, w),
+		newMeasureLatencyCmd(p, w), newMeasureDataCentreCmd(p, w),
 	}
 	m := make(map[string]command, len(a))
 	for _, v := range a {
