--- a/internal/daemon/assembly/entry_test.go
+++ b/internal/daemon/assembly/entry_test.go
@@ -30,7 +30,11 @@
 		}
 		f()
 	})
-	waitFor(t, m, func(d *assembly.Daemon) bool { return d.Status().Ready && d.Status().Versions.InstanceList > 0 })
+	w, x := context.WithTimeout(c, 20*time.Second)
+	defer x()
+	if e := m.WaitReady(w); e != nil {
+		t.Fatal(e)
+	}
 	return m
 }
 
@@ -144,6 +148,10 @@
 		p.Targets = append(p.Targets, n.Caller())
 	}
 	c := context.Background()
+	// Keyed requests are answered once the homes are active.
+	if e := m.WaitReady(c); e != nil {
+		t.Fatal(e)
+	}
 	g, e := load.NewGenerator(c, p)
 	if e != nil {
 		t.Fatal(e)
