--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,7 @@
 	CounterAnnounce    = "Control.Announce"
 	CounterAntiEntropy = "Control.AntiEntropy"
 	CounterGate        = "Control.Gate"
+	CounterLeaving     = "Control.Leaving"
 	CounterPullDelta   = "Control.PullDelta"
 	CounterPullWhole   = "Control.PullWhole"
 )
@@ -55,6 +57,8 @@
 	plan    *peer.PullPlan
 	limiter *peer.PullLimiter
 	wake    chan struct{}
+	told    atomic.Bool
+	alone   atomic.Bool
 }
 
 var _ Exchanger = (*Spreader)(nil)
@@ -117,7 +121,9 @@
 	g.Go(func() error { return s.pullLoop(c) })
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.beatLoop(c) })
-	return g.Wait()
+	e := g.Wait()
+	s.tellLeaving(context.WithoutCancel(c))
+	return e
 }
 
 // Heard takes in the sender of any message. It does not block.
@@ -195,13 +201,16 @@
 // force.
 func (s *Spreader) watchStore(c context.Context) error {
 	var l *lavenderridge.InstanceList
+	var w sync.WaitGroup
+	defer w.Wait()
 	for {
 		f := s.store.Changed()
 		if n := s.store.List(); n != nil && n != l {
 			l = n
 			s.neighbourhood.SetList(l)
 		}
-		s.announce(c)
+		// A neighbour that does not answer must not hold up the next version.
+		w.Go(func() { s.announce(c) })
 		select {
 		case <-c.Done():
 			return nil
@@ -252,7 +261,7 @@
 		return nil, e
 	}
 	s.takeIn(q, false)
-	if n != CounterGate && b > 1 {
+	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
 	}
 	return q, nil
