Learn the usual latency at few requests in flight only

Two reasons were seen in a trial that printed the limiter: the usual latency followed the overload in steps that stayed below twice its value; and the stand-in answered an empty 200 when the deadline cut a request, which counted as good and as fast.

Now the usual latency is learnt while at most half of the slots are in use, and hardly moves otherwise; the stand-in answers 504; a 504 counts as a timeout, so that short deadlines do not restart the ramp; and a waiter that could not be answered by its deadline is refused before it takes a slot.

--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -236,6 +236,8 @@
 	switch {
 	case p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests:
 		o = h.limiter.Shed(t)
+	case p.Status == http.StatusGatewayTimeout:
+		o = h.limiter.TimedOut(d, t)
 	case p.Status >= http.StatusInternalServerError:
 		o = h.limiter.Failed(t)
 	default:
--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -241,12 +241,13 @@
 	}
 }
 
-// dropLate refuses the waiters whose deadline has passed.
+// dropLate refuses the waiters that would not be answered by their deadline.
 func (a *Admission) dropLate(t time.Time) {
+	n := t.Add(a.limiter.Latency())
 	for i := len(a.queue) - 1; i >= 0; i-- {
-		if w := a.queue[i]; w.late(t) {
+		if w := a.queue[i]; w.late(n) {
 			a.remove(i, t)
-			w.decide(a.refuse(lavenderridge.ReasonDeadline, "the deadline passed before a slot was free", 0))
+			w.decide(a.refuse(lavenderridge.ReasonDeadline, "no slot was free in time for the deadline", 0))
 		}
 	}
 }
--- a/internal/policy/backendserver/limiter.go
+++ b/internal/policy/backendserver/limiter.go
@@ -115,7 +115,7 @@
 // in flight and the catalogue allowed n.
 func (l *Limiter) Succeeded(d time.Duration, u, n lavenderridge.Slots, t time.Time) {
 	l.failures.Store(0)
-	s := l.observe(d)
+	s := l.observe(d, 2*u <= n)
 	// Requests far below the limit tell nothing of what it bears.
 	if 2*u < l.Limit(n) {
 		return
@@ -131,19 +131,18 @@
 }
 
 // observe adds the latency d and reports whether the backend server is slow.
-// While it is, the usual latency hardly moves, or it would soon call the
-// overload usual.
-func (l *Limiter) observe(d time.Duration) bool {
+// The usual latency is learnt while at most half of the slots are in use, as
+// the flag w tells. Under more it hardly moves, or it would follow an overload
+// upwards little by little.
+func (l *Limiter) observe(d time.Duration, w bool) bool {
 	n := l.samples.Add(1)
 	f := average(&l.fresh, int64(d), min(n, freshWeight))
-	u := l.usual.Load()
-	s := n > freshWeight && f > slowRatio*u && f > u+int64(slowMargin)
-	w := int64(usualWeight)
-	if s {
-		w = slowWeight
+	k := int64(slowWeight)
+	if w {
+		k = usualWeight
 	}
-	average(&l.usual, int64(d), min(n, w))
-	return s
+	u := average(&l.usual, int64(d), min(n, k))
+	return n > freshWeight && f > slowRatio*u && f > u+int64(slowMargin)
 }
 
 // average moves v towards x by one part in w. A concurrent sample may be lost.
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -247,9 +247,11 @@
 	if b.context.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if x == RunFinished {
-		_, _ = fmt.Fprintf(w, "%s %s %s\n", s.instance, q.Method, q.URL.Path)
+	if x == RunCut {
+		http.Error(w, "the deadline has passed", http.StatusGatewayTimeout)
+		return
 	}
+	_, _ = fmt.Fprintf(w, "%s %s %s\n", s.instance, q.Method, q.URL.Path)
 }
 
 // enter begins a run, or returns why there is none.
