Keep what is known of targets that leave a daemon's subset

Cause: with 12 instances and a subset of two, a target that had refused was chosen again at once after another instance left and returned: its state was dropped with its place in the subset. The state of every eligible instance is kept now.

--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -73,15 +73,19 @@
 }
 
 func (b *BalancedRouter) state(d lavenderridge.ServiceID, n lavenderridge.InstanceID) *targetState {
+	if v := b.current(d); v != nil {
+		return v.byID[n]
+	}
+	return nil
+}
+
+// current returns the latest table of the service d, or nil.
+func (b *BalancedRouter) current(d lavenderridge.ServiceID) *routeTable {
 	p, o := b.services.Load(d)
 	if !o {
 		return nil
 	}
-	v := p.(*atomic.Pointer[routeTable]).Load()
-	if v == nil {
-		return nil
-	}
-	return v.byID[n]
+	return p.(*atomic.Pointer[routeTable]).Load()
 }
 
 // table returns the table of the service d under s. A table for an older
@@ -124,5 +128,6 @@
 
 // Knows reports whether the instance n is among the targets of the service d.
 func (b *BalancedRouter) Knows(d lavenderridge.ServiceID, n lavenderridge.InstanceID) bool {
-	return b.state(d, n) != nil
+	v := b.current(d)
+	return v != nil && v.has(n)
 }
--- a/internal/policy/caller/routetable.go
+++ b/internal/policy/caller/routetable.go
@@ -39,25 +39,45 @@
 		if s.Eligible(n) {
 			g := b.distance(s, n)
 			v.groups[g] = append(v.groups[g], target{instance: n})
+			v.keep(n.ID, p)
 		}
 	}
 	for i := range v.groups {
 		v.groups[i] = subset(v.groups[i], b.instance, b.subset)
 		for j := range v.groups[i] {
-			v.adopt(&v.groups[i][j], p)
+			v.adopt(&v.groups[i][j])
 		}
 	}
 	return v
 }
 
-func (v *routeTable) adopt(n *target, p *routeTable) {
-	if p != nil {
-		n.targetState = p.byID[n.instance.ID]
+// keep takes over what the table p knows of the instance i, whether or not it
+// is in the subset now.
+func (v *routeTable) keep(i lavenderridge.InstanceID, p *routeTable) {
+	if p == nil {
+		return
 	}
+	if n := p.byID[i]; n != nil {
+		v.byID[i] = n
+	}
+}
+
+func (v *routeTable) adopt(n *target) {
+	n.targetState = v.byID[n.instance.ID]
 	if n.targetState == nil {
 		n.targetState = &targetState{}
+		v.byID[n.instance.ID] = n.targetState
+	}
+}
+
+// has reports whether the instance i is among the targets.
+func (v *routeTable) has(i lavenderridge.InstanceID) bool {
+	for _, g := range v.groups {
+		if slices.ContainsFunc(g, func(n target) bool { return n.instance.ID == i }) {
+			return true
+		}
 	}
-	v.byID[n.instance.ID] = n.targetState
+	return false
 }
 
 // subset returns the first k targets of g by rendezvous hash with the
