--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -53,6 +53,7 @@
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w), newExplainCmd(p, w), newBurnCmd(p, w),
 		newLoadCmd(p, w), newTryCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
+		newMeasureActivationCmd(p, w),
 		newMeasureConvergenceCmd(p, w),
 		newMeasureLatencyCmd(p, w),
 	}
--- a/internal/transport/peerquic/traffic.go
+++ b/internal/transport/peerquic/traffic.go
@@ -39,6 +39,12 @@
 	return c.calls[kindPull].Load(), lavenderridge.ByteCount(c.payload[kindPull].Load())
 }
 
+// Activations returns the number of activation requests that this daemon sent
+// and the bytes of the requests and their replies.
+func (c *Traffic) Activations() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindActivate].Load(), lavenderridge.ByteCount(c.payload[kindActivate].Load())
+}
+
 // Datagrams returns the bytes of all UDP payloads sent and the number of write
 // calls, each of which may carry several packets.
 func (c *Traffic) Datagrams() (lavenderridge.ByteCount, int64) {
