--- a/internal/policy/peer/homes_test.go
+++ b/internal/policy/peer/homes_test.go
@@ -86,6 +86,8 @@
 	{"proof before running", 0},
 	{"memory", 6},
 	{"memory of moved keys", 4},
+	{"asked since adoption", 1280},
+	{"whole records", 155},
 	{"every version since", 1425},
 	{"exchange with settled homes", 9},
 	{"fence", 4},
