--- /dev/null
+++ b/internal/cmd/datacentre/run.go
@@ -0,0 +1,130 @@
+package datacentre
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/load/caller"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
+)
+
+const (
+	moving lavenderridge.DataCentreID = "fukuoka"
+
+	settleTime = 30 * time.Second
+	warmUp     = 5 * time.Second
+	// lateAfter is the time after which a data centre gets no new work.
+	lateAfter      = 5 * time.Second
+	requestTimeout = 2 * time.Second
+	restartTime    = 50 * time.Millisecond
+	slots          = 10
+	concurrency    = 256
+)
+
+// Run measures one run with the balanced router, or with the plain one if o is
+// set.
+func Run(c context.Context, p Plan, o bool) (*Report, error) {
+	m, e := mesh.NewMesh(
+		c,
+		mesh.WithReplicas(p.Replicas),
+		mesh.WithDataCentres(moving, "kumamoto", "saga"),
+		mesh.WithConfig(func(f *assembly.Config) { f.PlainRouting = o }),
+		mesh.WithBackend(p.newBackend),
+	)
+	if e != nil {
+		return nil, e
+	}
+	defer func() { _ = m.Close() }()
+	d, f := context.WithTimeout(c, settleTime)
+	defer f()
+	if e := m.WaitReady(d); e != nil {
+		return nil, e
+	}
+	r := &Report{Routing: "balanced"}
+	if o {
+		r.Routing = "plain"
+	}
+	return r, r.measure(c, p, m)
+}
+
+// measure sends the load, and moves the data centre meanwhile.
+func (r *Report) measure(c context.Context, p Plan, m *mesh.Mesh) error {
+	l := caller.Plan{
+		Mix:  []caller.Share{{Path: "/roster/read", Weight: 3}, {Path: "/roster/write", Weight: 1, Keyed: true}},
+		Rate: p.Rate, Concurrency: concurrency, Duration: warmUp, Timeout: requestTimeout, Seed: 1,
+	}
+	for _, n := range m.Members {
+		l.Targets = append(l.Targets, n.Caller())
+	}
+	w, e := caller.NewGenerator(c, l)
+	if e != nil {
+		return e
+	}
+	w.Run(c)
+	l.Duration = 3 * p.Step
+	g, e := caller.NewGenerator(c, l)
+	if e != nil {
+		return e
+	}
+	f := make(chan error, 1)
+	go func() { f <- r.move(c, p, m) }()
+	r.Load = g.Run(c)
+	return <-f
+}
+
+// move takes the data centre out and back, with backend servers that start
+// cold.
+func (r *Report) move(c context.Context, p Plan, m *mesh.Mesh) error {
+	if !sleep(c, p.Step) {
+		return c.Err()
+	}
+	t := time.Now()
+	if e := m.SetDataCentre(moving, lavenderridge.OutOfService); e != nil {
+		return e
+	}
+	if !sleep(c, p.Step) {
+		return c.Err()
+	}
+	for _, n := range m.Members {
+		if n.Instance.DataCentre != moving {
+			continue
+		}
+		r.Late += begunAfter(n.Backend, t.Add(lateAfter))
+		if e := n.Backend.Restart(restartTime); e != nil {
+			return e
+		}
+	}
+	return m.SetDataCentre(moving, lavenderridge.InService)
+}
+
+// newBackend returns the backend server of n, which starts cold in the data
+// centre that moves.
+func (p *Plan) newBackend(n lavenderridge.Instance) *backendserver.Server {
+	if n.DataCentre != moving {
+		return backendserver.NewServer(n.ID, slots, p.ServiceTime)
+	}
+	return backendserver.NewServer(n.ID, slots, p.ServiceTime, backendserver.WithColdStart(p.ColdSlots, p.ColdTime, backendserver.FailureErrors))
+}
+
+// begunAfter counts the requests that the backend server b began after t.
+func begunAfter(b *backendserver.Server, t time.Time) int {
+	n := 0
+	for _, r := range b.Record() {
+		if r.Begun.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+func sleep(c context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-c.Done():
+		return false
+	}
+}
--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -64,14 +64,12 @@
 	}
 }
 
-// LeaveAlone gives back the slot of a request that EnterAlone admitted. The
-// next may run alone only after others could run for as long as this one kept
-// them waiting.
+// LeaveAlone gives back the slot of a request that EnterAlone admitted.
 func (a *Admission) LeaveAlone(t time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.aloneRuns = false
-	a.aloneFrom = t.Add(t.Sub(a.blocked))
+	a.leaveTime(t)
 	a.state.Add(-1)
 	a.markAlone(t)
 	a.serve(t)
@@ -217,12 +215,21 @@
 func (a *Admission) remove(i int, t time.Time) {
 	if a.queue[i].alone {
 		a.aloneAsks--
+		a.leaveTime(t)
 	}
 	a.queue = slices.Delete(a.queue, i, i+1)
 	a.waiting.Add(-1)
 	a.markAlone(t)
 }
 
+// leaveTime lets the next request run alone only after others could run for as
+// long as this one has kept them waiting.
+func (a *Admission) leaveTime(t time.Time) {
+	if a.state.Load()&aloneBit != 0 {
+		a.aloneFrom = t.Add(t.Sub(a.blocked))
+	}
+}
+
 // markAlone keeps aloneBit in step with the queue.
 func (a *Admission) markAlone(t time.Time) {
 	if !a.aloneRuns && (len(a.queue) == 0 || !a.queue[0].alone) {
@@ -234,12 +241,13 @@
 	}
 }
 
-// dropLate refuses the waiters whose deadline has passed.
+// dropLate refuses the waiters that would not be answered by their deadline.
 func (a *Admission) dropLate(t time.Time) {
+	n := t.Add(a.limiter.Latency())
 	for i := len(a.queue) - 1; i >= 0; i-- {
-		if w := a.queue[i]; w.late(t) {
+		if w := a.queue[i]; w.late(n) {
 			a.remove(i, t)
-			w.decide(a.refuse(lavenderridge.ReasonDeadline, "the deadline passed before a slot was free", 0))
+			w.decide(a.refuse(lavenderridge.ReasonDeadline, "no slot was free in time for the deadline", 0))
 		}
 	}
 }
