Keep a home's exchange up while a listed instance is silent

Cause: a home that lacked acknowledgements asked only the instances that had not given one. When such an instance is gone but still listed, nobody else was asked, so after 1.5 s the home was fenced and refused every key, also those that it had held all along. In a data centre that dies while the list lags, that would have stopped all payments of its services.

A second cost of silent instances: each vain connection sends several full packets. The AskPlan doubles the pause to each one that does not answer, up to 30 s, and ends it when that instance calls.

--- a/internal/daemon/peer/homes.go
+++ b/internal/daemon/peer/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 	askInterval = 400 * time.Millisecond
 	minBackoff  = 50 * time.Millisecond
 	askTimeout  = 400 * time.Millisecond
-	maxAsked    = 8
+	maxAsked    = 32
 	// maxHandOver bounds the records of one message.
 	maxHandOver     = lavenderridge.Mebibyte
 	handOverTimeout = 2 * time.Second
@@ -54,7 +55,9 @@
 
 	mutex      sync.Mutex
 	activation *peer.HomeActivation
-	partner    int
+	plan       *peer.AskPlan
+	partner    lavenderridge.InstanceID
+	turn       int
 }
 
 var (
@@ -70,6 +73,7 @@
 		service: d, snapshots: s, clock: k, peers: p, self: f, recorder: r, ledger: l,
 		wakeAsk: make(chan struct{}, 1), wakeGive: make(chan struct{}, 1),
 		activation: peer.NewHomeActivation(n.Instance, n.Incarnation, peer.DefaultHomeLimits(), k.Now()),
+		plan:       peer.NewAskPlan(),
 	}
 	h.state.Store(&homeState{view: h.activation.View(), changed: make(chan struct{})})
 	return h
@@ -189,7 +193,7 @@
 	h.recorder.Record(d)
 }
 
-// askLoop asks for missing acknowledgements, or keeps up the exchange with one
+// askLoop asks for missing acknowledgements and keeps up the exchange with one
 // other instance.
 func (h *Homes) askLoop(c context.Context) error {
 	b := minBackoff
@@ -210,33 +214,49 @@
 	return nil
 }
 
-// targets returns the instances to ask and whether acknowledgements of them are
-// missing.
+// targets returns the instances to ask, and whether acknowledgements are
+// missing. The first is the partner of the exchange: a home that waits for an
+// instance that is gone must not lose touch with the others.
 func (h *Homes) targets() ([]lavenderridge.InstanceID, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if w := h.activation.Waiting(); len(w) > 0 {
-		return w, true
-	}
 	m := h.activation.Membership()
 	if m == nil {
 		return nil, false
 	}
+	t := h.clock.Now()
+	h.plan.Keep(m.Listed())
+	w := h.activation.Waiting()
+	l := h.plan.Due(w, t)
+	h.partner = h.choosePartner(m, t)
+	if h.partner == "" {
+		return l, len(w) > 0
+	}
+	l = slices.DeleteFunc(l, func(n lavenderridge.InstanceID) bool { return n == h.partner })
+	return append([]lavenderridge.InstanceID{h.partner}, l...), len(w) > 0
+}
+
+// choosePartner returns the next listed instance after this one that may be
+// asked at t, or "".
+func (h *Homes) choosePartner(m *peer.HomeMembership, t time.Time) lavenderridge.InstanceID {
 	var l []lavenderridge.InstanceID
-	s := h.self().Instance
 	for i, n := range m.Listed() {
-		if n == s {
+		if n == h.self().Instance {
 			l = append(append(l, m.Listed()[i+1:]...), m.Listed()[:i]...)
 		}
 	}
 	if len(l) == 0 {
-		return nil, false
+		return ""
+	}
+	k := h.turn % len(l)
+	if a := h.plan.Due(append(l[k:len(l):len(l)], l[:k]...), t); len(a) > 0 {
+		return a[0]
 	}
-	return []lavenderridge.InstanceID{l[h.partner%len(l)]}, false
+	return ""
 }
 
 // askAll asks the instances n and reports whether each answered as a settled
-// home. Otherwise the next exchange is with another instance.
+// home.
 func (h *Homes) askAll(c context.Context, n []lavenderridge.InstanceID) bool {
 	var g errgroup.Group
 	var f atomic.Bool
@@ -245,19 +265,24 @@
 		g.Go(func() error {
 			if !h.ask(c, d) {
 				f.Store(true)
+				h.missed(d)
 			}
 			return nil
 		})
 	}
 	_ = g.Wait()
-	if f.Load() {
-		h.mutex.Lock()
-		h.partner++
-		h.mutex.Unlock()
-	}
 	return !f.Load()
 }
 
+// missed makes the next exchange be with another instance than n.
+func (h *Homes) missed(n lavenderridge.InstanceID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if n == h.partner {
+		h.turn++
+	}
+}
+
 func (h *Homes) ask(c context.Context, n lavenderridge.InstanceID) bool {
 	s := h.snapshots.Snapshot()
 	if s == nil || s.Instance(n) == nil {
@@ -269,12 +294,16 @@
 	defer f()
 	o := h.clock.Now()
 	p, e := h.peers.Dial(s.Instance(n)).Activate(c, q)
+	t := h.clock.Now()
 	if e != nil {
+		h.change(func(*peer.HomeActivation) { h.plan.Failed(n, t, rand.Float64()) })
 		return false
 	}
-	t := h.clock.Now()
 	p.Whole = p.Whole && h.merge(p.Records, t) == len(p.Records)
-	h.change(func(a *peer.HomeActivation) { a.Answered(n, p, o, t) })
+	h.change(func(a *peer.HomeActivation) {
+		h.plan.Heard(n)
+		a.Answered(n, p, o, t)
+	})
 	return p.Settled
 }
 
@@ -284,6 +313,7 @@
 	var p *lavenderridge.ActivationReply
 	var m *peer.HomeMembership
 	h.change(func(a *peer.HomeActivation) {
+		h.plan.Heard(q.Sender.Instance)
 		p, m = a.Answer(q, h.self(), h.clock.Now()), a.Membership()
 	})
 	if p.Acknowledged && q.Gathering {
--- a/internal/policy/peer/askplan.go
+++ b/internal/policy/peer/askplan.go
@@ -8,7 +8,7 @@
 
 const (
 	minAskPause = 50 * time.Millisecond
-	maxAskPause = 5 * time.Second
+	maxAskPause = 30 * time.Second
 )
 
 // An AskPlan spaces out the requests to instances that do not answer, so that
