Set a ramp back when a cold backend server answers with errors

The ramp counted an error as neither success nor sign of load, so successes in between raised it to where about half failed.

Ruled out: the router (owners admit, and each reported its limit); treating every 500 as load (an endpoint that always fails would hold the limit low).

Now an error within 10 s of the beginning of a ramp halves the limit and holds the ramp below it, as a crash does.

--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -239,7 +239,7 @@
 	case p.Status == http.StatusGatewayTimeout:
 		o = h.limiter.TimedOut(d, t)
 	case p.Status >= http.StatusInternalServerError:
-		o = h.limiter.Failed(t)
+		o = h.limiter.Erred(t)
 	default:
 		h.limiter.Succeeded(d, h.admission.InFlight(), v.Slots, t)
 	}
--- a/internal/policy/backendserver/limiter.go
+++ b/internal/policy/backendserver/limiter.go
@@ -22,6 +22,9 @@
 	// bootInterval is the shortest time between a restart of the ramp and one
 	// that only a boot mark asks for.
 	bootInterval = 10 * time.Second
+	// coldTime is how long after the beginning of a ramp errors are taken for
+	// those of a cold backend server.
+	coldTime = 10 * time.Second
 	// failureBurst is the number of failures in a row that restarts the ramp.
 	failureBurst = 5
 	// failureMemory is how long a failure can confirm a health hint.
@@ -213,6 +216,17 @@
 	return l.Failed(t)
 }
 
+// Erred tells that the backend server answered with an error of its own. Early
+// in a ramp that may mean that it is still cold, so the ramp is set back; later
+// it tells nothing of the load. It reports whether the ramp begins again.
+func (l *Limiter) Erred(t time.Time) bool {
+	v := l.limit.Load() / milliSlots
+	if l.ramping.Load() && l.since(t)-l.began.Load() < int64(coldTime) && l.reduce(halfCut, milliSlots, t) {
+		l.setBack(v)
+	}
+	return l.Failed(t)
+}
+
 // Failed tells that a request failed without an answer or with an error of the
 // backend server. It reports whether the ramp begins again.
 func (l *Limiter) Failed(t time.Time) bool {
@@ -258,12 +272,16 @@
 // Crashed tells that the backend server crashed. A ramp that it crashed is not
 // taken as far the next time, for a while.
 func (l *Limiter) Crashed(t time.Time) {
-	v := l.limit.Load() / milliSlots
+	l.setBack(l.limit.Load() / milliSlots)
+	l.Restart(t)
+}
+
+// setBack holds a ramp that failed at the limit v below that for a while.
+func (l *Limiter) setBack(v int64) {
 	if l.ramping.Load() && v > 1 {
 		l.ceiling.Store(v - 1)
 		l.setbacks.Store(min(maxSetbacks, l.setbacks.Load()+1))
 	}
-	l.Restart(t)
 }
 
 // Restart begins the ramp again.
@@ -273,15 +291,16 @@
 
 // reduce lowers the limit to p percent but not below f, at most once in an
 // interval.
-func (l *Limiter) reduce(p, f int64, t time.Time) {
+func (l *Limiter) reduce(p, f int64, t time.Time) bool {
 	s, o := l.since(t), l.cut.Load()
 	if s-o < max(int64(cutInterval), l.fresh.Load()) || !l.cut.CompareAndSwap(o, s) {
-		return
+		return false
 	}
 	v := l.limit.Load()
 	l.limit.CompareAndSwap(v, min(v, max(f, milliSlots, v*p/100)))
 	l.raised.Store(s)
 	l.answered.Store(0)
+	return true
 }
 
 func (l *Limiter) since(t time.Time) int64 {
