Clean up: one sleep, one plain HTTP client, one place for measurements

Six functions waited for a time or a context's end, and four places set up the same HTTP client; both are one piece of code now. Behaviour is as it was; the tests keep their assertions.

--- a/internal/cmd/lavenderridge/measureactivationcmd.go
+++ b/internal/cmd/lavenderridge/measureactivationcmd.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/lavenderridge/lavenderridge/internal/cmd/activation"
+	"github.com/lavenderridge/lavenderridge/internal/measure/activation"
 )
 
 // measureActivationCmd measures what the activation of homes costs.
--- a/internal/cmd/lavenderridge/measureconvergencecmd.go
+++ b/internal/cmd/lavenderridge/measureconvergencecmd.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/lavenderridge/lavenderridge/internal/cmd/convergence"
+	"github.com/lavenderridge/lavenderridge/internal/measure/convergence"
 )
 
 // measureConvergenceCmd measures how fast a fleet takes on a change.
--- a/internal/cmd/lavenderridge/measuredatacentrecmd.go
+++ b/internal/cmd/lavenderridge/measuredatacentrecmd.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lavenderridge/lavenderridge"
-	"github.com/lavenderridge/lavenderridge/internal/cmd/datacentre"
+	"github.com/lavenderridge/lavenderridge/internal/measure/datacentre"
 )
 
 // measureDataCentreCmd measures a data centre's leaving and returning.
--- a/internal/cmd/lavenderridge/measurelatencycmd.go
+++ b/internal/cmd/lavenderridge/measurelatencycmd.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lavenderridge/lavenderridge"
-	"github.com/lavenderridge/lavenderridge/internal/cmd/latency"
+	"github.com/lavenderridge/lavenderridge/internal/measure/latency"
 )
 
 // measureLatencyCmd measures what daemons add to a call.
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
@@ -45,7 +44,7 @@
 		}
 		a.Add(n, f)
 		d, o := h.policy.Next(e, r, a.Count(), f, h.clock.Now())
-		if !o || !sleep(c, d) {
+		if !o || lavenderridge.Sleep(c, d) != nil {
 			return nil, a.Conclude(r, f)
 		}
 		x = append(x, n)
@@ -60,18 +59,3 @@
 	}
 	return s
 }
-
-// sleep waits for the time d and reports whether c still goes on.
-func sleep(c context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return c.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-c.Done():
-		return false
-	}
-}
--- a/internal/daemon/configservice/reader.go
+++ b/internal/daemon/configservice/reader.go
@@ -105,7 +105,7 @@
 	for c.Err() == nil {
 		p := configservice.PlanRead(r.state(d, b, f), rand.Float64())
 		if p.Skip {
-			sleep(c, skipInterval)
+			_ = lavenderridge.Sleep(c, skipInterval)
 			continue
 		}
 		if !r.pause(c, p.Delay) || p.Wait == 0 && configservice.PlanRead(r.state(d, b, f), 0).Skip {
@@ -179,18 +179,3 @@
 		return true
 	}
 }
-
-// sleep waits for d. It reports false when c ended.
-func sleep(c context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return c.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/daemon/peer/spreader.go
+++ b/internal/daemon/peer/spreader.go
@@ -269,7 +269,7 @@
 
 // compare exchanges versions with one neighbour in turn.
 func (s *Spreader) compare(c context.Context) error {
-	for sleep(c, exchangeInterval*4/5+rand.N(exchangeInterval*2/5)) {
+	for lavenderridge.Sleep(c, exchangeInterval*4/5+rand.N(exchangeInterval*2/5)) == nil {
 		if n := s.neighbourhood.Next(s.clock.Now()); n != nil {
 			_, _ = s.call(c, n, CounterAntiEntropy)
 		}
@@ -280,15 +280,3 @@
 func (s *Spreader) count(n string) {
 	metrics.GetOrRegisterCounter(n, s.counters).Inc(1)
 }
-
-// sleep waits for d. It reports false when c ended.
-func sleep(c context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/daemon/peer/spreadergate.go
+++ b/internal/daemon/peer/spreadergate.go
@@ -89,7 +89,7 @@
 // gate.
 func (s *Spreader) reopen(c context.Context) {
 	if _, n := s.ask(c); n == 0 {
-		sleep(c, reopenInterval)
+		_ = lavenderridge.Sleep(c, reopenInterval)
 	}
 }
 
--- a/internal/daemon/peer/spreaderpull.go
+++ b/internal/daemon/peer/spreaderpull.go
@@ -32,7 +32,7 @@
 	for c.Err() == nil && s.plan.Waiting(s.versions()) {
 		n, d, o := s.plan.Next(s.versions(), s.clock.Now())
 		if !o {
-			sleep(c, pullRetry)
+			_ = lavenderridge.Sleep(c, pullRetry)
 			continue
 		}
 		if v := s.neighbourhood.Instance(n); v != nil {
@@ -81,7 +81,7 @@
 
 // beatLoop notices pauses of the process.
 func (s *Spreader) beatLoop(c context.Context) error {
-	for sleep(c, beatInterval) {
+	for lavenderridge.Sleep(c, beatInterval) == nil {
 		s.gate.Beat(s.clock.Now())
 		s.tellLeaving(c)
 	}
--- a/internal/load/caller/generator.go
+++ b/internal/load/caller/generator.go
@@ -11,6 +11,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const pace = time.Millisecond
@@ -35,11 +36,7 @@
 		return nil, e
 	}
 	t := &http.Transport{MaxIdleConnsPerHost: p.Concurrency, MaxConnsPerHost: p.Concurrency, DisableCompression: true}
-	k, e := kratoshttp.NewClient(c,
-		kratoshttp.WithTransport(t),
-		kratoshttp.WithTimeout(p.Timeout),
-		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
-	)
+	k, e := plainhttp.NewClient(c, t, p.Timeout)
 	if e != nil {
 		return nil, fmt.Errorf("load: %w", e)
 	}
--- a/internal/measure/activation/run.go
+++ b/internal/measure/activation/run.go
@@ -57,23 +57,12 @@
 	return n / l, b / l
 }
 
-func sleep(c context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-c.Done():
-		return c.Err()
-	}
-}
-
 func rest(c context.Context, m *mesh.Mesh, p Plan, r *Report) error {
-	if e := sleep(c, settle); e != nil {
+	if e := lavenderridge.Sleep(c, settle); e != nil {
 		return e
 	}
 	n, b := usage(m)
-	if e := sleep(c, p.Rest); e != nil {
+	if e := lavenderridge.Sleep(c, p.Rest); e != nil {
 		return e
 	}
 	x, y := usage(m)
@@ -91,7 +80,7 @@
 	if e := wait(c, m); e != nil {
 		return e
 	}
-	if e := sleep(c, settle); e != nil {
+	if e := lavenderridge.Sleep(c, settle); e != nil {
 		return e
 	}
 	x, _ := usage(m)
@@ -125,7 +114,7 @@
 	if e := m.SetDataCentre(moved, lavenderridge.InService); e != nil {
 		return e
 	}
-	if e := sleep(c, p.Silence); e != nil {
+	if e := lavenderridge.Sleep(c, p.Silence); e != nil {
 		return e
 	}
 	d := time.Now()
--- a/internal/measure/datacentre/run.go
+++ b/internal/measure/datacentre/run.go
@@ -78,14 +78,14 @@
 // move takes the data centre out and back, with backend servers that start
 // cold.
 func (r *Report) move(c context.Context, p Plan, m *mesh.Mesh) error {
-	if !sleep(c, p.Step) {
+	if lavenderridge.Sleep(c, p.Step) != nil {
 		return c.Err()
 	}
 	t := time.Now()
 	if e := m.SetDataCentre(moving, lavenderridge.OutOfService); e != nil {
 		return e
 	}
-	if !sleep(c, p.Step) {
+	if lavenderridge.Sleep(c, p.Step) != nil {
 		return c.Err()
 	}
 	for _, n := range m.Members {
@@ -119,12 +119,3 @@
 	}
 	return n
 }
-
-func sleep(c context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-c.Done():
-		return false
-	}
-}
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -247,14 +247,10 @@
 	if e != nil {
 		return e
 	}
-	t := time.NewTimer(peer.DefaultSkew)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-c.Done():
-		return fmt.Errorf("mesh: wait: %w", c.Err())
+	if e := lavenderridge.Sleep(c, peer.DefaultSkew); e != nil {
+		return fmt.Errorf("mesh: wait: %w", e)
 	}
+	return nil
 }
 
 // Wait returns when f holds for every running daemon, or with an error when c
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -106,14 +106,14 @@
 
 // operate does what operators do while the load runs.
 func (t *Trial) operate(c context.Context) error {
-	if e := sleep(c, warmUp); e != nil {
+	if e := lavenderridge.Sleep(c, warmUp); e != nil {
 		return e
 	}
 	t.mesh.Catalogue.Entries[0].Limits.Attempts = 2
 	if e := t.converge(c, "change an entry", t.mesh.Publish); e != nil {
 		return e
 	}
-	if e := sleep(c, pause); e != nil {
+	if e := lavenderridge.Sleep(c, pause); e != nil {
 		return e
 	}
 	if e := t.converge(c, "take "+string(leavingDataCentre)+" out", func() error { return t.mesh.SetDataCentre(leavingDataCentre, lavenderridge.OutOfService) }); e != nil {
@@ -146,11 +146,11 @@
 
 // checkDrained checks that a data centre out of service gets no new work.
 func (t *Trial) checkDrained(c context.Context) error {
-	if e := sleep(c, pause); e != nil {
+	if e := lavenderridge.Sleep(c, pause); e != nil {
 		return e
 	}
 	b := t.runsIn(leavingDataCentre)
-	if e := sleep(c, outFor); e != nil {
+	if e := lavenderridge.Sleep(c, outFor); e != nil {
 		return e
 	}
 	n := t.runsIn(leavingDataCentre) - b
@@ -234,14 +234,3 @@
 func since(t time.Time) string {
 	return time.Since(t).Round(100 * time.Microsecond).String()
 }
-
-func sleep(c context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-		return c.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/transport/backendhttp/pool.go
+++ b/internal/transport/backendhttp/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const idleTimeout = time.Minute
@@ -24,11 +26,7 @@
 		DialContext: d.dial, MaxConnsPerHost: n, MaxIdleConnsPerHost: n, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, DisableKeepAlives: !k,
 	}
-	h, e := kratoshttp.NewClient(c,
-		kratoshttp.WithTransport(hideLocation{t}),
-		kratoshttp.WithTimeout(0),
-		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
-	)
+	h, e := plainhttp.NewClient(c, hideLocation{t}, 0)
 	if e != nil {
 		return nil, fmt.Errorf("backendhttp: %w", e)
 	}
--- a/internal/transport/confighttp/client.go
+++ b/internal/transport/confighttp/client.go
@@ -12,6 +12,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 // VersionHeader is the response header with a document's version.
@@ -34,11 +35,7 @@
 // NewClient returns a client of the configuration service at the address a.
 func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
 	p := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}
-	h, e := kratoshttp.NewClient(c,
-		kratoshttp.WithTransport(p),
-		kratoshttp.WithTimeout(0),
-		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
-	)
+	h, e := plainhttp.NewClient(c, p, 0)
 	if e != nil {
 		return nil, fmt.Errorf("confighttp: %w", e)
 	}
--- a/internal/transport/operatorhttp/client.go
+++ b/internal/transport/operatorhttp/client.go
@@ -10,6 +10,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const maxAnswer = 16 * lavenderridge.Mebibyte
@@ -24,11 +25,7 @@
 // NewClient returns a client of the daemon with the operator address a.
 func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
 	p := &http.Transport{}
-	h, e := kratoshttp.NewClient(c,
-		kratoshttp.WithTransport(p),
-		kratoshttp.WithTimeout(0),
-		kratoshttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
-	)
+	h, e := plainhttp.NewClient(c, p, 0)
 	if e != nil {
 		return nil, fmt.Errorf("operatorhttp: %w", e)
 	}
