--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -68,7 +68,7 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.configuration.spreader.Heard))
+	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.sender, d.configuration.spreader.Heard))
 	if d.entry, e = newEntryPart(d); e != nil {
 		return e
 	}
--- a/internal/daemon/peer/hearingclient.go
+++ b/internal/daemon/peer/hearingclient.go
@@ -19,8 +19,12 @@
 	v, e := p.next.Handle(c, r)
 	if e == nil {
 		p.heard(v.Sender)
+		return v, nil
 	}
-	return v, e
+	if f := lavenderridge.AsRefusal(e); f.Versions != (lavenderridge.Versions{}) {
+		p.heard(lavenderridge.Sender{Instance: f.Place, Stamps: f.Versions.Stamps()})
+	}
+	return nil, e
 }
 
 // Exchange implements lavenderridge.Peer.
--- a/internal/daemon/peer/hearingpeer.go
+++ b/internal/daemon/peer/hearingpeer.go
@@ -7,24 +7,33 @@
 )
 
 // A HearingPeer passes on the sender of every call that other daemons make, so
-// that a newer version is noticed on any message.
+// that a newer version is noticed on any message. Its refusals tell the versions
+// in force here.
 type HearingPeer struct {
 	next  lavenderridge.Peer
+	self  func() lavenderridge.Sender
 	heard func(lavenderridge.Sender)
 }
 
 var _ lavenderridge.Peer = (*HearingPeer)(nil)
 
 // NewHearingPeer returns a peer that answers as p does and calls f with the
-// sender of each call first. The function f must not block.
-func NewHearingPeer(p lavenderridge.Peer, f func(lavenderridge.Sender)) *HearingPeer {
-	return &HearingPeer{next: p, heard: f}
+// sender of each call first. The function s gives the sender of its own
+// messages. The function f must not block.
+func NewHearingPeer(p lavenderridge.Peer, s func() lavenderridge.Sender, f func(lavenderridge.Sender)) *HearingPeer {
+	return &HearingPeer{next: p, self: s, heard: f}
 }
 
 // Handle implements lavenderridge.Handler.
 func (p *HearingPeer) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	p.heard(r.Sender)
-	return p.next.Handle(c, r)
+	v, e := p.next.Handle(c, r)
+	if e == nil {
+		return v, nil
+	}
+	f := *lavenderridge.AsRefusal(e)
+	f.Versions = p.self().Stamps.Versions()
+	return nil, &f
 }
 
 // Exchange implements lavenderridge.Peer.
--- a/refusal.go
+++ b/refusal.go
@@ -22,6 +22,9 @@
 	Retried bool
 	// Load is what the refusing daemon's backend server bore.
 	Load Load
+	// Versions are those that the refusing daemon had in force; zero where
+	// they are not known.
+	Versions Versions
 }
 
 var _ error = (*Refusal)(nil)
--- a/versions.go
+++ b/versions.go
@@ -18,3 +18,8 @@
 		InstanceList: max(v.InstanceList, o.InstanceList),
 	}
 }
+
+// Stamps returns stamps of the versions, without digests.
+func (v Versions) Stamps() Stamps {
+	return Stamps{Catalogue: Stamp{Version: v.Catalogue}, InstanceList: Stamp{Version: v.InstanceList}}
+}
