Hang the measurements under one command

Each of four constructors looked for the command measure and made it if it was the first; they are given it now, as those of keys are. Order in the help changed, nothing else.

--- a/internal/cmd/lavenderridge/measureactivationcmd.go
+++ b/internal/cmd/lavenderridge/measureactivationcmd.go
@@ -20,12 +20,8 @@
 
 var _ command = (*measureActivationCmd)(nil)
 
-func newMeasureActivationCmd(a *kingpin.Application, w io.Writer) command {
-	p := a.GetCommand("measure")
-	if p == nil {
-		p = a.Command("measure", "Measure the system on this machine.")
-	}
-	m := &measureActivationCmd{out: w, clause: p.Command("activation", "Measure the time and messages that moving the homes of keyed requests takes.")}
+func newMeasureActivationCmd(a *kingpin.CmdClause, w io.Writer) command {
+	m := &measureActivationCmd{out: w, clause: a.Command("activation", "Measure the time and messages that moving the homes of keyed requests takes.")}
 	m.clause.Flag("instances", "Instances of the service.").Default("32").IntVar(&m.plan.Instances)
 	m.clause.Flag("rest", "Time to observe the fleet at rest.").Default("10s").DurationVar(&m.plan.Rest)
 	m.clause.Flag("silence", "Time for which the list keeps an instance that does not answer.").Default("5s").DurationVar(&m.plan.Silence)
--- a/internal/cmd/lavenderridge/measureconvergencecmd.go
+++ b/internal/cmd/lavenderridge/measureconvergencecmd.go
@@ -22,12 +22,8 @@
 
 var _ command = (*measureConvergenceCmd)(nil)
 
-func newMeasureConvergenceCmd(a *kingpin.Application, w io.Writer) command {
-	p := a.GetCommand("measure")
-	if p == nil {
-		p = a.Command("measure", "Measure the system on this machine.")
-	}
-	m := &measureConvergenceCmd{out: w, clause: p.Command("convergence", "Measure convergence, control bytes and source calls of fleets on loopback.")}
+func newMeasureConvergenceCmd(a *kingpin.CmdClause, w io.Writer) command {
+	m := &measureConvergenceCmd{out: w, clause: a.Command("convergence", "Measure convergence, control bytes and source calls of fleets on loopback.")}
 	m.clause.Flag("size", "Number of daemons; may be given several times.").Default("8", "16", "32", "64", "128").IntsVar(&m.plan.Sizes)
 	m.clause.Flag("listed", "Number of instances in the list, with or without a daemon.").Default("3500").IntVar(&m.plan.Listed)
 	m.clause.Flag("services", "Number of services in the catalogue.").Default("110").IntVar(&m.plan.Services)
--- a/internal/cmd/lavenderridge/measuredatacentrecmd.go
+++ b/internal/cmd/lavenderridge/measuredatacentrecmd.go
@@ -23,12 +23,8 @@
 
 var _ command = (*measureDataCentreCmd)(nil)
 
-func newMeasureDataCentreCmd(a *kingpin.Application, w io.Writer) command {
-	p := a.GetCommand("measure")
-	if p == nil {
-		p = a.Command("measure", "Measure the system on this machine.")
-	}
-	m := &measureDataCentreCmd{out: w, clause: p.Command("datacentre", "Measure success and latency while one of three data centres leaves and returns with cold backend servers, with the router and with plain round robin.")}
+func newMeasureDataCentreCmd(a *kingpin.CmdClause, w io.Writer) command {
+	m := &measureDataCentreCmd{out: w, clause: a.Command("datacentre", "Measure success and latency while one of three data centres leaves and returns with cold backend servers, with the router and with plain round robin.")}
 	f := m.clause
 	f.Flag("rate", "Requests in a second.").Default("400").Float64Var(&m.rate)
 	f.Flag("replicas", "Instances in each data centre.").Default("2").IntVar(&m.plan.Replicas)
--- a/internal/cmd/lavenderridge/measurelatencycmd.go
+++ b/internal/cmd/lavenderridge/measurelatencycmd.go
@@ -23,12 +23,8 @@
 
 var _ command = (*measureLatencyCmd)(nil)
 
-func newMeasureLatencyCmd(a *kingpin.Application, w io.Writer) command {
-	p := a.GetCommand("measure")
-	if p == nil {
-		p = a.Command("measure", "Measure the system on this machine.")
-	}
-	m := &measureLatencyCmd{out: w, clause: p.Command("latency", "Measure the latency, processor time and allocations that daemons add to a call.")}
+func newMeasureLatencyCmd(a *kingpin.CmdClause, w io.Writer) command {
+	m := &measureLatencyCmd{out: w, clause: a.Command("latency", "Measure the latency, processor time and allocations that daemons add to a call.")}
 	f := m.clause
 	f.Flag("rate", "Calls in a second.").Default("500").Float64Var(&m.rate)
 	f.Flag("callers", "Callers, each with one connection.").Default("16").IntVar(&m.plan.Callers)
--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -54,10 +54,8 @@
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w), newExplainCmd(p, w), newBurnCmd(p, w),
 		newLoadCmd(p, w), newTryCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
-		newMeasureActivationCmd(p, w),
-		newMeasureGoodputCmd(n, w), newMeasureRestartCmd(n, w),
-		newMeasureConvergenceCmd(p, w),
-		newMeasureLatencyCmd(p, w), newMeasureDataCentreCmd(p, w),
+		newMeasureConvergenceCmd(n, w), newMeasureActivationCmd(n, w), newMeasureDataCentreCmd(n, w),
+		newMeasureLatencyCmd(n, w), newMeasureGoodputCmd(n, w), newMeasureRestartCmd(n, w),
 	}
 	m := make(map[string]command, len(a))
 	for _, v := range a {
