Show in status what a home waits for

The text of status told nothing of homes, so an operator whose payments were refused as NotActive had to read the JSON to learn which listed instance does not answer.

--- a/internal/cmd/lavenderridge/statuscmd.go
+++ b/internal/cmd/lavenderridge/statuscmd.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 )
 
@@ -39,7 +40,7 @@
 		return errors.Join(printJSON(s.out, a), x)
 	}
 	t := newTable(s.out)
-	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSERVICE\tSTATE\tCATALOGUE\tINSTANCES\tACCEPTED\tSOURCE AGE\tIN FLIGHT\tKEYS UNTIL")
+	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSERVICE\tSTATE\tCATALOGUE\tINSTANCES\tACCEPTED\tSOURCE AGE\tIN FLIGHT\tHOME\tKEYS UNTIL")
 	for _, v := range a {
 		if v.Error == "" {
 			printStatus(t, &v.Value)
@@ -50,6 +51,7 @@
 	}
 	for _, v := range a {
 		printRejections(s.out, &v.Value)
+		printWaiting(s.out, &v.Value)
 	}
 	return x
 }
@@ -69,11 +71,32 @@
 	}
 }
 
+// printWaiting prints the instances for whose acknowledgement the home waits.
+func printWaiting(w io.Writer, s *operatorhttp.Status) {
+	for _, n := range s.Home.Waiting {
+		_, _ = fmt.Fprintf(w, "\n%s: keyed requests whose home moves here wait for %s to answer or to be dropped from the list\n", s.Instance, n)
+	}
+}
+
 func printStatus(w io.Writer, s *operatorhttp.Status) {
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%s\t%d/%d\t%s\n",
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%s\t%d/%d\t%s\t%s\n",
 		s.Instance, s.DataCentre, s.Service, stateOf(s),
 		s.Versions.Catalogue, s.CatalogueDigest, s.Versions.InstanceList, s.InstanceListDigest,
-		formatTime(s.AcceptedAt), s.SourceAge.Round(time.Second), s.Load.InFlight, s.Load.Limit, formatTime(s.KeysNotAfter))
+		formatTime(s.AcceptedAt), s.SourceAge.Round(time.Second), s.Load.InFlight, s.Load.Limit, homeOf(&s.Home), formatTime(s.KeysNotAfter))
+}
+
+// homeOf tells which keyed requests the daemon may run.
+func homeOf(s *lavenderridge.HomeStatus) string {
+	switch {
+	case s.Fenced:
+		return "fenced"
+	case s.Active:
+		return "active"
+	case len(s.Waiting) > 0:
+		return fmt.Sprintf("waits for %d", len(s.Waiting))
+	default:
+		return "inactive"
+	}
 }
 
 func stateOf(s *operatorhttp.Status) string {
