Open a stream anew when a connection refuses it while it ends

Cause: a connection that a restarted peer has reset refuses new streams a moment before its context ends. The link took that moment for a connection that works and answered Unreachable in place of dialling.

--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -119,9 +119,11 @@
 		return nil, e
 	}
 	s, e := n.OpenStreamSync(c)
-	if e == nil || n.Context().Err() == nil {
+	if e == nil || c.Err() != nil {
 		return s, e
 	}
+	// A connection refuses streams a moment before its context ends.
+	l.connection.CompareAndSwap(n, nil)
 	if n, e = l.connect(c); e != nil {
 		return nil, e
 	}
