--- a/catalogue.go
+++ b/catalogue.go
@@ -6,4 +6,5 @@
 	Instances   []InstanceOverride
 	Services    []Service
 	Entries     []Entry
+	Callers     CallerLimits
 }
--- a/cataloguedelta.go
+++ b/cataloguedelta.go
@@ -6,4 +6,5 @@
 	Instances   Changes[InstanceID, InstanceOverride]
 	Services    Changes[ServiceID, Service]
 	Entries     Changes[EntryID, Entry]
+	Callers     CallerLimits
 }
--- a/class.go
+++ b/class.go
@@ -8,12 +8,14 @@
 const (
 	ClassBackground Class = iota + 1
 	ClassNormal
+	ClassUrgent
 	ClassCritical
 )
 
 var classNames = map[Class]string{
 	ClassBackground: "Background",
 	ClassNormal:     "Normal",
+	ClassUrgent:     "Urgent",
 	ClassCritical:   "Critical",
 }
 
--- a/entry.go
+++ b/entry.go
@@ -8,6 +8,11 @@
 	Owner   OwnerID
 	Class   Class
 	Service ServiceID
+	// Split distributes the requests over several services in place of Service,
+	// which is then the first of them.
+	Split []ServiceShare
+	// Host selects the requests of this entry; empty means all hosts.
+	Host string
 	// PathPrefix selects the requests of this entry; the longest prefix wins.
 	PathPrefix string
 	// Methods selects the requests of this entry; none means all methods.
--- a/health.go
+++ b/health.go
@@ -1,5 +1,7 @@
 package lavenderridge
 
+import "time"
+
 // A Health is what a backend server's health and load endpoints say. It is a
 // hint only.
 type Health struct {
@@ -7,4 +9,6 @@
 	InFlight Slots
 	// Boot changes when the backend server restarts; it may be empty.
 	Boot string
+	// Cold is how long the backend server stays cold.
+	Cold time.Duration
 }
--- a/instancelist.go
+++ b/instancelist.go
@@ -4,4 +4,6 @@
 // lags behind what happens. Instances are sorted by ID.
 type InstanceList struct {
 	Instances []Instance
+	// Evacuated lists the data centres that get no new work, sorted.
+	Evacuated []DataCentreID
 }
--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/platform"
 )
 
 // serveCmd runs the daemon.
@@ -51,7 +52,11 @@
 	if e != nil {
 		return e
 	}
-	d, e := assembly.NewDaemon(c, v.Daemon, k, assembly.WithLogger(l))
+	o := []assembly.Option{assembly.WithLogger(l)}
+	if v.UsesPlatform() {
+		o = append(o, assembly.WithAdapter(platform.Adapter{}))
+	}
+	d, e := assembly.NewDaemon(c, v.Daemon, k, o...)
 	if e != nil {
 		return e
 	}
--- a/internal/cmd/settings/log.go
+++ b/internal/cmd/settings/log.go
@@ -31,11 +31,12 @@
 	}
 }
 
-// Logger returns a logger that writes to standard error.
+// Logger returns a logger that writes to standard output.
 func (l Log) Logger() (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
 	c.Level = zap.NewAtomicLevelAt(l.Level)
 	c.Sampling = nil
+	c.OutputPaths = []string{"stdout"}
 	c.DisableStacktrace = true
 	c.EncoderConfig.TimeKey, c.EncoderConfig.MessageKey = "Time", "Event"
 	c.EncoderConfig.LevelKey, c.EncoderConfig.CallerKey = "Level", "Source"
--- a/internal/cmd/settings/reader.go
+++ b/internal/cmd/settings/reader.go
@@ -254,6 +254,48 @@
 	return b
 }
 
+// table returns the strings in the section k by their names.
+func (r *reader) table(k string) map[string]string {
+	m := make(map[string]string)
+	for p := range r.values {
+		n, o := strings.CutPrefix(p, k+".")
+		if !o {
+			continue
+		}
+		if s, o := r.text(p, "a name"); o {
+			m[n] = s
+		}
+	}
+	return m
+}
+
+// optionalAddress returns the address at k, or "" when there is none.
+func (r *reader) optionalAddress(k string) lavenderridge.Address {
+	r.used[k] = true
+	if _, o := r.values[k]; !o {
+		return ""
+	}
+	return r.address(k, "")
+}
+
+// fraction returns the number at k, from 0 to m, or d.
+func (r *reader) fraction(k string, d, m float64) float64 {
+	r.used[k] = true
+	v, o := r.values[k]
+	if !o {
+		return d
+	}
+	if n, o := v.(int64); o {
+		v = float64(n)
+	}
+	n, o := v.(float64)
+	if !o || !(n >= 0 && n <= m) {
+		r.add(k, "want a number from 0 to %v", m)
+		return d
+	}
+	return n
+}
+
 // count returns the number at k, from a to b, or d.
 func (r *reader) count(k string, d, a, b int) int {
 	r.used[k] = true
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -31,6 +31,19 @@
 	defaultReload      = 10 * time.Second
 	minReload          = 100 * time.Millisecond
 	maxReload          = time.Hour
+	maxStopDelay       = time.Minute
+	defaultColdFactor  = 1.0
+	defaultColdSlack   = 0.0
+	maxColdFactor      = 10.0
+	maxColdSlack       = 1000.0
+	maxRatio           = 1.0
+	maxExtraRetries    = 100_000
+)
+
+// Names of adapters.
+const (
+	adapterNone     = "None"
+	adapterPlatform = "Platform"
 )
 
 // maxFile bounds a settings file.
@@ -40,6 +53,10 @@
 type Settings struct {
 	Daemon assembly.Config
 	Log    Log
+	// Adapter names the platform whose protocols are spoken.
+	Adapter string
+
+	ephemeral bool
 
 	reader *reader
 }
@@ -83,6 +100,7 @@
 	s.readIdentity(r)
 	s.readAddresses(r)
 	s.readLimits(r)
+	s.readPlatform(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
 }
@@ -115,7 +133,25 @@
 	d.Decisions = r.count("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 }
 
+func (s *Settings) readPlatform(r *reader) {
+	d := &s.Daemon
+	s.Adapter = r.choice("Adapter", adapterNone, adapterNone, adapterPlatform)
+	d.Regions = make(map[lavenderridge.DataCentreID]lavenderridge.RegionID)
+	for k, v := range r.table("Regions") {
+		d.Regions[lavenderridge.DataCentreID(k)] = lavenderridge.RegionID(v)
+	}
+	d.Metrics = r.optionalAddress("Operator.Metrics")
+	d.StopDelay = r.duration("Limits.StopDelay", 0, 0, maxStopDelay)
+	d.ColdFactor = r.fraction("Backend.ColdFactor", defaultColdFactor, maxColdFactor)
+	d.ColdSlack = r.fraction("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
+	d.RetryRatio = lavenderridge.Ratio(r.fraction("Retries.Ratio", 0, maxRatio))
+	d.RetryExtra = r.count("Retries.Extra", 0, 0, maxExtraRetries)
+}
+
 func (s *Settings) readKeys(r *reader) {
+	if s.ephemeral = r.flag("Keys.Ephemeral", false); s.ephemeral {
+		return
+	}
 	s.Daemon.KeyFiles = peertls.Files{
 		Authority:   r.path("Keys.Authority"),
 		Certificate: r.path("Keys.Certificate"),
@@ -157,7 +193,12 @@
 
 // Keys loads the certificate files.
 func (s *Settings) Keys() (*peertls.Keys, error) {
-	k, e := s.Daemon.KeyFiles.Load(peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}, time.Now())
+	i := peertls.Identity{Instance: s.Daemon.Instance, DataCentre: s.Daemon.DataCentre}
+	f := func() (*peertls.Keys, error) { return s.Daemon.KeyFiles.Load(i, time.Now()) }
+	if s.ephemeral {
+		f = func() (*peertls.Keys, error) { return peertls.NewEphemeral(i, time.Now()) }
+	}
+	k, e := f()
 	if e != nil {
 		return nil, fmt.Errorf("settings: %w", e)
 	}
@@ -181,6 +222,11 @@
 	return filepath.Join(filepath.Dir(f), p)
 }
 
+// UsesPlatform reports whether the adapter of the users' platform is set.
+func (s *Settings) UsesPlatform() bool {
+	return s.Adapter == adapterPlatform
+}
+
 // Names returns the key path of every setting, sorted.
 func Names() []string {
 	r, _ := newReader("", nil)
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -30,6 +30,22 @@
 	// PlainRouting takes targets in turn without retries, as the baseline of
 	// measurements.
 	PlainRouting bool
+	// Regions holds the region of each data centre, where the catalogue does not
+	// tell it.
+	Regions map[lavenderridge.DataCentreID]lavenderridge.RegionID
+	// Metrics is a further address for metrics; it may be empty.
+	Metrics lavenderridge.Address
+	// StopDelay is how long the daemon goes on answering callers after a stop
+	// has begun, so that they hear of it.
+	StopDelay time.Duration
+	// ColdFactor and ColdSlack tell what a cold backend server is given in a
+	// second: its rate times the factor, and the slack in requests.
+	ColdFactor, ColdSlack float64
+	// RetryRatio and RetryExtra bound the retries of the whole fleet in a
+	// window: a part of the requests and a number beyond it. Zero for both
+	// stands for a budget of each daemon's own.
+	RetryRatio lavenderridge.Ratio
+	RetryExtra int
 	// FleetSize is the number of daemons that are assumed to start at once
 	// while no instance list is known; zero means 500.
 	FleetSize int
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -16,13 +16,18 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 )
 
+// runner runs until its context ends.
+type runner interface {
+	Run(c context.Context) error
+}
+
 // configPart keeps the snapshot in force.
 type configPart struct {
 	store         *configpolicy.Store
 	gate          *configpolicy.Gate
 	contact       *configpolicy.SourceContact
 	neighbourhood *peerpolicy.Neighbourhood
-	reader        *configservice.Reader
+	reader        runner
 	spreader      *peer.Spreader
 	exchanger     peer.Exchanger
 	clock         lavenderridge.Clock
@@ -32,11 +37,6 @@
 var _ lavenderridge.Readiness = (*configPart)(nil)
 
 func newConfigPart(c context.Context, d *Daemon) (*configPart, error) {
-	s, e := confighttp.NewClient(c, d.config.ConfigService)
-	if e != nil {
-		return nil, e
-	}
-	d.closeLater(s.Close)
 	t := d.clock.Now()
 	p := &configPart{
 		store:         configpolicy.NewStore(canonicalcbor.NewCodec()),
@@ -49,8 +49,28 @@
 	a := configservice.NewAcceptor(p.store, confighttp.Parser{}, d.clock, d.recorder, d.log)
 	p.spreader = newSpreader(d, p, a)
 	p.exchanger = p.spreader
-	p.reader = configservice.NewReader(s, p.store, a, p.gate, p.contact, d.clock, d.config.Instance, d.config.DataCentre, readerOptions(d, p)...)
-	return p, nil
+	var e error
+	p.reader, e = newReading(c, d, p, a)
+	return p, e
+}
+
+// newReading returns what reads the source: documents, or the facts of a
+// platform.
+func newReading(c context.Context, d *Daemon, p *configPart, a *configservice.Acceptor) (runner, error) {
+	if d.adapter != nil {
+		s, e := d.adapter.Facts(c, lavenderridge.FactSettings{Source: d.config.ConfigService, Peer: d.config.Peer, Regions: d.config.Regions})
+		if e != nil {
+			return nil, e
+		}
+		d.closeLater(s.Close)
+		return configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.PeerHeard, d.config.fleetSize()), nil
+	}
+	s, e := confighttp.NewClient(c, d.config.ConfigService)
+	if e != nil {
+		return nil, e
+	}
+	d.closeLater(s.Close)
+	return configservice.NewReader(s, p.store, a, p.gate, p.contact, d.clock, d.config.Instance, d.config.DataCentre, readerOptions(d, p)...), nil
 }
 
 func newSpreader(d *Daemon, p *configPart, a *configservice.Acceptor) *peer.Spreader {
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -26,6 +26,7 @@
 	observer    lavenderridge.Observer
 	metrics     metrics.Registry
 	sourceOnly  bool
+	adapter     lavenderridge.Adapter
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -23,11 +23,22 @@
 	}
 	d.closeLater(l.Close)
 	return &entryPart{
-		server:  callerhttp.NewServer(l, newEntryHandler(d), d.config.MaxBody),
+		server:  callerhttp.NewServer(l, newEntryHandler(d), d.config.MaxBody, callerOptions(d)...),
 		address: lavenderridge.Address(l.Addr().String()),
 	}, nil
 }
 
+func callerOptions(d *Daemon) []callerhttp.Option {
+	o := []callerhttp.Option{
+		callerhttp.WithCaller(func() lavenderridge.ServiceID { return d.config.Service }),
+		callerhttp.WithStopDelay(d.config.StopDelay),
+	}
+	if d.adapter != nil {
+		o = append(o, callerhttp.WithProtocol(d.adapter.Callers()))
+	}
+	return o
+}
+
 // newEntryHandler returns the handlers that a caller's request passes through,
 // the outermost first.
 func newEntryHandler(d *Daemon) lavenderridge.Handler {
@@ -46,5 +57,21 @@
 		return callerpolicy.NewRoundRobinRouter(), discard{}, callerpolicy.NewRetryPolicy(callerpolicy.WithAttempts(1))
 	}
 	b := callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now())
-	return b, b, callerpolicy.NewRetryPolicy()
+	return b, b, callerpolicy.NewRetryPolicy(retryOptions(d)...)
+}
+
+// retryOptions makes the retries of all daemons keep the bound of the fleet,
+// where there is one.
+func retryOptions(d *Daemon) []callerpolicy.RetryOption {
+	if d.config.RetryRatio == 0 && d.config.RetryExtra == 0 {
+		return nil
+	}
+	f := func() callerpolicy.BudgetTerms {
+		n := d.config.fleetSize()
+		if s := d.configuration.store.Snapshot(); s != nil {
+			n = len(s.List.Instances)
+		}
+		return callerpolicy.FleetBudgetTerms(d.config.RetryRatio, d.config.RetryExtra, n)
+	}
+	return []callerpolicy.RetryOption{callerpolicy.WithBudget(f), callerpolicy.WithFreeRerouting()}
 }
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -86,6 +86,7 @@
 // operatorPart answers operators and renews the keys.
 type operatorPart struct {
 	server   *operatorhttp.Server
+	metrics  *operatorhttp.Server // nil without an address of its own
 	address  lavenderridge.Address
 	reloader *peertls.Reloader
 	interval time.Duration
@@ -99,6 +100,9 @@
 	d.closeLater(l.Close)
 	r := d.records
 	p := &operatorPart{address: lavenderridge.Address(l.Addr().String()), interval: d.config.KeyReload}
+	if p.metrics, e = newMetricsServer(d); e != nil {
+		return nil, e
+	}
 	p.server = operatorhttp.NewServer(l, d.Status,
 		operatorhttp.WithMetrics(d.metrics),
 		operatorhttp.WithDecisions(func(q operatorhttp.DecisionQuery) []lavenderridge.Decision {
@@ -117,9 +121,26 @@
 	return p, nil
 }
 
+// newMetricsServer returns a further server for metrics, or nil when none is
+// set.
+func newMetricsServer(d *Daemon) (*operatorhttp.Server, error) {
+	if d.config.Metrics == "" {
+		return nil, nil
+	}
+	l, e := net.Listen("tcp", string(d.config.Metrics))
+	if e != nil {
+		return nil, fmt.Errorf("assembly: metrics address: %w", e)
+	}
+	d.closeLater(l.Close)
+	return operatorhttp.NewServer(l, d.Status, operatorhttp.WithMetrics(d.metrics)), nil
+}
+
 func (p *operatorPart) run(c context.Context) error {
 	g, c := errgroup.WithContext(c)
 	g.Go(func() error { return p.server.Run(c) })
+	if p.metrics != nil {
+		g.Go(func() error { return p.metrics.Run(c) })
+	}
 	if p.interval > 0 {
 		g.Go(func() error { return p.reloader.Run(c, p.interval) })
 	}
--- a/internal/daemon/assembly/option.go
+++ b/internal/daemon/assembly/option.go
@@ -24,3 +24,8 @@
 func WithSourceOnly() Option {
 	return func(d *Daemon) { d.sourceOnly = true }
 }
+
+// WithAdapter makes the daemon speak the protocols of a platform.
+func WithAdapter(a lavenderridge.Adapter) Option {
+	return func(d *Daemon) { d.adapter = a }
+}
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -17,19 +17,40 @@
 }
 
 func newOwnerPart(c context.Context, d *Daemon) (*ownerPart, error) {
-	b, e := backendhttp.NewClient(c, d.config.Backend, d.config.Connections, d.config.MaxBody)
+	b, e := backendhttp.NewClient(c, d.config.Backend, d.config.Connections, d.config.MaxBody, backendOptions(d)...)
 	if e != nil {
 		return nil, e
 	}
 	d.closeLater(b.Close)
-	h := backendserver.NewOwnerHandler(d.configuration.store, d.sender, b,
+	o := []backendserver.OwnerOption{
 		backendserver.WithClock(d.clock),
 		backendserver.WithRecorder(d.recorder),
 		backendserver.WithReadiness(d.configuration),
-	)
+	}
+	if d.adapter != nil {
+		o = append(o, backendserver.WithListedCapacity(d.config.ColdFactor, d.config.ColdSlack))
+	}
+	h := backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
 	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
 }
 
+func backendOptions(d *Daemon) []backendhttp.Option {
+	if d.adapter == nil {
+		return nil
+	}
+	return []backendhttp.Option{
+		backendhttp.WithProtocol(d.adapter.Backends()),
+		backendhttp.WithHealthPath(func() string {
+			if s := d.configuration.store.Snapshot(); s != nil {
+				if v := s.Service(d.config.Service); v != nil {
+					return v.HealthPath
+				}
+			}
+			return ""
+		}),
+	}
+}
+
 func (p *ownerPart) load() lavenderridge.Load {
 	return p.owner.Load(p.service)
 }
--- a/internal/daemon/backendserver/crashcheck.go
+++ b/internal/daemon/backendserver/crashcheck.go
@@ -68,6 +68,9 @@
 // Run checks the backend server and the snapshot in force from time to time,
 // until c ends.
 func (h *OwnerHandler) Run(c context.Context) error {
+	if h.listed != nil {
+		return h.runListed(c)
+	}
 	k := time.NewTicker(probePeriod)
 	defer k.Stop()
 	for {
--- /dev/null
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -0,0 +1,150 @@
+package backendserver
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+)
+
+// doubtPeriod is the time between health checks of a backend server that may
+// have restarted.
+const doubtPeriod = 150 * time.Millisecond
+
+// listedCapacity takes what the backend server bears from the instance list in
+// place of finding it out.
+type listedCapacity struct {
+	factor float64
+	slack  float64
+	// effective is the service as this instance bears it.
+	effective atomic.Pointer[effectiveService]
+	// seen is the revision of the listing that was taken in last.
+	seen atomic.Uint64
+}
+
+// effectiveService is a service with the slots of one instance.
+type effectiveService struct {
+	snapshot *lavenderridge.Snapshot
+	service  lavenderridge.Service
+}
+
+// WithListedCapacity makes the handler trust the slots and the cold start that
+// the instance list tells. A cold backend server gets in a second its rate
+// times f and s requests more.
+func WithListedCapacity(f, s float64) OwnerOption {
+	return func(h *OwnerHandler) {
+		h.listed = &listedCapacity{factor: f, slack: s}
+		h.limiterOptions = append(h.limiterOptions, backendserver.WithFixedLimit())
+	}
+}
+
+// service returns the service v as the instance n bears it under s.
+func (l *listedCapacity) service(s *lavenderridge.Snapshot, v *lavenderridge.Service, n *lavenderridge.Instance) *lavenderridge.Service {
+	if o := l.effective.Load(); o != nil && o.snapshot == s {
+		return &o.service
+	}
+	o := &effectiveService{snapshot: s, service: *v}
+	if n.Slots > 0 {
+		o.service.Slots = n.Slots
+	}
+	l.effective.Store(o)
+	return &o.service
+}
+
+// load returns what the backend server bears under the service v, which may be
+// nil.
+func (h *OwnerHandler) load(v *lavenderridge.Service) lavenderridge.Load {
+	if v == nil && h.listed != nil {
+		if o := h.listed.effective.Load(); o != nil {
+			v = &o.service
+		}
+	}
+	l := h.admission.Load(v)
+	l.Pace = h.pace.Value()
+	return l
+}
+
+// learnPace takes in that the request r took d.
+func (h *OwnerHandler) learnPace(r *lavenderridge.Request, d time.Duration) {
+	s := h.snapshots.Snapshot()
+	if s == nil {
+		return
+	}
+	if e := s.Entry(r.Entry); e != nil {
+		h.pace.Learn(d, e.Objective.Latency)
+	}
+}
+
+// enterCold counts a request at the time t, or refuses it when the backend
+// server is cold and bears no more.
+func (h *OwnerHandler) enterCold(v *lavenderridge.Service, t time.Time) error {
+	if h.cold == nil {
+		return nil
+	}
+	r := lavenderridge.Rate(float64(v.ColdRate)*h.listed.factor + h.listed.slack)
+	if w := h.cold.Enter(r, t); w > 0 {
+		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
+	}
+	return nil
+}
+
+// doubt takes the backend server for restarted until a health check tells.
+func (h *OwnerHandler) doubt() {
+	if h.cold == nil {
+		return
+	}
+	if h.cold.Doubt() {
+		h.record("BackendDoubted", "it may have restarted", h.clock.Now())
+	}
+	select {
+	case h.doubted <- struct{}{}:
+	default:
+	}
+}
+
+// runListed settles doubts and takes in what the instance list tells, until c
+// ends.
+func (h *OwnerHandler) runListed(c context.Context) error {
+	for c.Err() == nil {
+		h.CheckListing()
+		if h.cold.Unproven() {
+			h.settle(c)
+		}
+		k := time.NewTimer(doubtPeriod)
+		select {
+		case <-k.C:
+		case <-h.doubted:
+		case <-c.Done():
+		}
+		k.Stop()
+	}
+	return nil
+}
+
+// CheckListing takes in a listing of this instance that was not seen before.
+func (h *OwnerHandler) CheckListing() {
+	s := h.snapshots.Snapshot()
+	if s == nil {
+		return
+	}
+	t := h.clock.Now()
+	_ = h.checkService(s, t)
+	n := s.Instance(h.self().Instance)
+	if n == nil || h.listed.seen.Swap(uint64(n.Revision)) == uint64(n.Revision) {
+		return
+	}
+	h.cold.Listed(n.ColdLeft, t)
+}
+
+// settle asks the backend server whether it is cold.
+func (h *OwnerHandler) settle(c context.Context) {
+	p, e := h.probe(c)
+	if e != nil {
+		return
+	}
+	t := h.clock.Now()
+	h.cold.Told(p.Cold, t)
+	h.record("BackendTold", "cold for "+p.Cold.String(), t)
+}
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -42,6 +42,11 @@
 	admission *backendserver.Admission
 	suspects  *backendserver.Suspects
 	drain     *backendserver.Drain
+	// cold is nil where the limiter finds out what the backend server bears.
+	cold    *backendserver.ColdGate
+	listed  *listedCapacity
+	doubted chan struct{}
+	pace    backendserver.Pace
 
 	patience     time.Duration
 	patient      atomic.Int64
@@ -62,12 +67,17 @@
 		snapshots: s, self: f, backend: b, clock: defaults{}, recorder: defaults{}, readiness: defaults{},
 		patience: defaultPatience,
 		suspects: backendserver.NewSuspects(), drain: backendserver.NewDrain(),
+		doubted: make(chan struct{}, 1),
 	}
 	for _, v := range o {
 		v(h)
 	}
 	h.limiter = backendserver.NewLimiter(h.clock.Now(), h.limiterOptions...)
 	h.admission = backendserver.NewAdmission(h.limiter)
+	if h.listed != nil {
+		h.cold = backendserver.NewColdGate(h.clock.Now())
+		h.doubt()
+	}
 	return h
 }
 
@@ -165,7 +175,17 @@
 	if v == nil {
 		return nil, h.notRun(lavenderridge.ReasonNoRoute, "no such service", 0)
 	}
-	return v, h.checkService(s, t)
+	if e := h.checkService(s, t); e != nil {
+		return nil, e
+	}
+	if h.listed == nil {
+		return v, nil
+	}
+	n := s.Instance(r.Target)
+	if n.Service != r.Service || r.Backend != "" && n.Backend != r.Backend {
+		return nil, h.notRun(lavenderridge.ReasonWrongTarget, "another backend server is listed here", 0)
+	}
+	return h.listed.service(s, v, n), nil
 }
 
 // checkService refuses while the snapshot s has this instance out of service
@@ -176,6 +196,7 @@
 		if h.outOfService.Load() && h.outOfService.CompareAndSwap(true, false) {
 			h.limiter.Restart(t)
 			h.record("RampRestarted", "back in service", t)
+			h.doubt()
 		}
 		return nil
 	}
@@ -215,13 +236,16 @@
 	if _, e := h.check(r, b); e != nil {
 		return nil, e
 	}
+	if e := h.enterCold(v, b); e != nil {
+		return nil, e
+	}
 	p, e := h.backend.Handle(c, r)
 	t := h.clock.Now()
 	if e != nil {
 		return nil, h.failed(c, r, a, e, b, t)
 	}
 	h.answered(r, p, v, t.Sub(b), t)
-	p.Load = h.admission.Load(v)
+	p.Load = h.load(v)
 	p.Sender = h.self()
 	return p, nil
 }
@@ -229,6 +253,7 @@
 // answered learns from a response that took d.
 func (h *OwnerHandler) answered(r *lavenderridge.Request, p *lavenderridge.Response, v *lavenderridge.Service, d time.Duration, t time.Time) {
 	h.unreachable.Store(false)
+	h.learnPace(r, d)
 	if h.suspects.Succeeded(r, t) {
 		h.record("SuspectCleared", "the backend server answered it", t)
 	}
@@ -252,9 +277,12 @@
 // returns its refusal.
 func (h *OwnerHandler) failed(c context.Context, r *lavenderridge.Request, a bool, e error, b, t time.Time) error {
 	f := lavenderridge.AsRefusal(e)
-	f.Place, f.Load = h.self().Instance, h.admission.Load(nil)
+	f.Place, f.Load = h.self().Instance, h.load(nil)
 	switch f.Reason {
+	case lavenderridge.ReasonWrongTarget:
+		h.doubt()
 	case lavenderridge.ReasonUnreachable:
+		h.doubt()
 		if h.unreachable.CompareAndSwap(false, true) {
 			h.limiter.Crashed(t)
 			h.record("RampRestarted", "backend server unreachable", t)
@@ -264,6 +292,7 @@
 			h.record("RampRestarted", "burst of timeouts", t)
 		}
 	case lavenderridge.ReasonConnectionLost, lavenderridge.ReasonBadResponse:
+		h.doubt()
 		if f.Outcome == lavenderridge.OutcomeUnknown && h.crashed(c, b, t) {
 			h.suspect(r, a, f, t)
 		}
@@ -288,7 +317,7 @@
 // placed adds this instance and its load to the refusal e.
 func (h *OwnerHandler) placed(e error) error {
 	f := lavenderridge.AsRefusal(e)
-	f.Place, f.Load = h.self().Instance, h.admission.Load(nil)
+	f.Place, f.Load = h.self().Instance, h.load(nil)
 	return f
 }
 
--- a/internal/daemon/backendserver/stop.go
+++ b/internal/daemon/backendserver/stop.go
@@ -49,9 +49,12 @@
 func (h *OwnerHandler) Load(d lavenderridge.ServiceID) lavenderridge.Load {
 	s := h.snapshots.Snapshot()
 	if s == nil {
-		return h.admission.Load(nil)
+		return h.load(nil)
 	}
-	return h.admission.Load(s.Service(d))
+	if h.listed != nil {
+		return h.load(nil)
+	}
+	return h.load(s.Service(d))
 }
 
 // Suspects returns the store of requests suspected of crashes.
--- a/internal/daemon/caller/bench_test.go
+++ b/internal/daemon/caller/bench_test.go
@@ -79,7 +79,7 @@
 func BenchmarkMatch(b *testing.B) {
 	s := benchmarkSession(110, 1)
 	for b.Loop() {
-		if s.snapshot.Match("GET", "/service-109/x") == nil {
+		if s.snapshot.Match("", "GET", "/service-109/x") == nil {
 			b.Fatal("no match")
 		}
 	}
--- a/internal/daemon/caller/entryhandler.go
+++ b/internal/daemon/caller/entryhandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -22,6 +23,7 @@
 	clock     lavenderridge.Clock
 	instance  lavenderridge.InstanceID
 	next      SnapshotHandler
+	splitter  *caller.Splitter
 }
 
 var _ lavenderridge.Handler = (*EntryHandler)(nil)
@@ -29,7 +31,7 @@
 // NewEntryHandler returns the handler of the instance i that passes matched
 // requests to n while the daemon is ready by v.
 func NewEntryHandler(v lavenderridge.Readiness, s lavenderridge.SnapshotSource, k lavenderridge.Clock, i lavenderridge.InstanceID, n SnapshotHandler) *EntryHandler {
-	return &EntryHandler{readiness: v, snapshots: s, clock: k, instance: i, next: n}
+	return &EntryHandler{readiness: v, snapshots: s, clock: k, instance: i, next: n, splitter: caller.NewSplitter(rand.Float64())}
 }
 
 // Handle implements lavenderridge.Handler.
@@ -56,11 +58,11 @@
 	if s == nil {
 		return nil, caller.Refuse(r, notRun(lavenderridge.ReasonNotReady, "no configuration in force yet"))
 	}
-	e := s.Match(r.Method, r.Path)
+	e := s.Match(r.Host, r.Method, r.Path)
 	if e == nil {
 		return nil, caller.Refuse(r, notRun(lavenderridge.ReasonNoRoute, "no entry matches"))
 	}
-	r.Entry, r.Service, r.Class, r.Idempotent = e.ID, e.Service, e.Class, e.Idempotent
+	r.Entry, r.Service, r.Class, r.Idempotent = e.ID, h.splitter.Service(e), e.Class, e.Idempotent
 	if r.Depth >= maxDepth {
 		return nil, caller.Refuse(r, notRun(lavenderridge.ReasonTooDeep, "too many services passed through"))
 	}
@@ -69,6 +71,9 @@
 	}
 	r.Depth++
 	r.Deadline = deadline(r.Deadline, e.Timeout, t)
+	if e.Objective.Latency > 0 {
+		r.Objective = t.Add(e.Objective.Latency)
+	}
 	c, f := context.WithDeadline(c, r.Deadline)
 	defer f()
 	return h.next.HandleIn(c, s, e, r)
--- a/internal/daemon/caller/forwardhandler.go
+++ b/internal/daemon/caller/forwardhandler.go
@@ -45,7 +45,7 @@
 		return "", nil, e
 	}
 	q := *r
-	q.Target, q.Sender, q.Deadline = n.ID, h.self(), hopDeadline(r.Deadline, t)
+	q.Target, q.Backend, q.Sender, q.Deadline = n.ID, n.Backend, h.self(), hopDeadline(r.Deadline, t)
 	h.tracker.Begin(r.Service, n.ID)
 	p, e := h.send(c, n, &q)
 	h.track(&q, p, e)
--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -52,6 +52,26 @@
 	return configservice.VerdictRejected, f
 }
 
+// Read offers the catalogue p as the platform publishes it.
+func (a *Acceptor) Read(p *lavenderridge.PublishedCatalogue) {
+	o := configservice.Offer{Version: p.Version, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
+	if p.Version <= a.store.Acceptance(lavenderridge.DocumentCatalogue).Stamp.Version {
+		return
+	}
+	v, e := a.store.OfferCatalogue(o, p.Catalogue)
+	a.report(lavenderridge.DocumentCatalogue, o, v, e)
+}
+
+// Listed offers the instance list l of the version n.
+func (a *Acceptor) Listed(l *lavenderridge.InstanceList, n lavenderridge.Version) {
+	o := configservice.Offer{Version: n, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
+	if n <= a.store.Acceptance(lavenderridge.DocumentInstanceList).Stamp.Version {
+		return
+	}
+	v, e := a.store.OfferInstanceList(o, l)
+	a.report(lavenderridge.DocumentInstanceList, o, v, e)
+}
+
 // Pulled offers the document d as the peer of the origin g sent it.
 func (a *Acceptor) Pulled(d lavenderridge.DocumentName, g lavenderridge.Origin, p *lavenderridge.PullReply) (configservice.Verdict, error) {
 	o := configservice.Offer{Version: p.Stamp.Version, Origin: g, Time: a.clock.Now()}
--- /dev/null
+++ b/internal/policy/backendserver/pace.go
@@ -0,0 +1,37 @@
+package backendserver
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// paceWeight is the number of requests over which the pace is averaged, about
+// one filling of the slots.
+const paceWeight = 10
+
+// A Pace is the moving average of the time of requests as a part of their
+// objectives. Concurrent samples may be lost.
+type Pace struct {
+	bits atomic.Uint64
+}
+
+// Learn takes in that a request with the objective o took d.
+func (p *Pace) Learn(d, o time.Duration) {
+	if o <= 0 {
+		return
+	}
+	n := float64(d) / float64(o)
+	b := p.bits.Load()
+	if v := math.Float64frombits(b); v > 0 {
+		n = v + (n-v)/paceWeight
+	}
+	p.bits.CompareAndSwap(b, math.Float64bits(n))
+}
+
+// Value returns the pace, or zero before the first request.
+func (p *Pace) Value() lavenderridge.Ratio {
+	return lavenderridge.Ratio(math.Float64frombits(p.bits.Load()))
+}
--- a/internal/policy/caller/retrybudget.go
+++ b/internal/policy/caller/retrybudget.go
@@ -7,30 +7,32 @@
 
 const (
 	token        = 1000 // a token in the unit of RetryBudget
-	requestShare = 100  // what a request adds: a tenth of a token
 	secondShare  = token
-	firstTokens  = 20 * token
-	maxTokens    = 100 * token
+	firstTokens  = 20
+	maxTokens    = 100
+	requestShare = 0.1 // what a request adds, in tokens
 )
 
-// A RetryBudget bounds the retries of one service: a tenth of its requests
-// and one in a second, with 20 at the start and at most 100 at once.
+// A RetryBudget bounds the retries of one service: by default a tenth of its
+// requests and one in a second, with 20 at the start and at most 100 at once.
 type RetryBudget struct {
 	tokens atomic.Int64
 	filled atomic.Int64 // time since start
 	start  time.Time
+	terms  func() BudgetTerms
 }
 
-// NewRetryBudget returns a budget that starts at t.
-func NewRetryBudget(t time.Time) *RetryBudget {
-	b := &RetryBudget{start: t}
-	b.tokens.Store(firstTokens)
+// NewRetryBudget returns a budget that starts at t. The function f gives the
+// terms in force.
+func NewRetryBudget(f func() BudgetTerms, t time.Time) *RetryBudget {
+	b := &RetryBudget{start: t, terms: f}
+	b.tokens.Store(int64(f().First * token))
 	return b
 }
 
 // Deposit adds the share of one request.
 func (b *RetryBudget) Deposit() {
-	b.add(requestShare)
+	b.add(int64(b.terms().Ratio * token))
 }
 
 // Take takes a token for a retry at the time t, and reports whether there was
@@ -50,7 +52,7 @@
 
 func (b *RetryBudget) fill(t time.Duration) {
 	l := b.filled.Load()
-	n := int64(t-time.Duration(l)) * secondShare / int64(time.Second)
+	n := int64(float64(t-time.Duration(l)) * b.terms().PerSecond * secondShare / float64(time.Second))
 	if n <= 0 || !b.filled.CompareAndSwap(l, int64(t)) {
 		return
 	}
@@ -58,9 +60,10 @@
 }
 
 func (b *RetryBudget) add(n int64) {
+	m := int64(b.terms().Most * token)
 	for {
 		v := b.tokens.Load()
-		w := min(v+n, maxTokens)
+		w := min(v+n, m)
 		if w <= v || b.tokens.CompareAndSwap(v, w) {
 			return
 		}
--- a/internal/policy/caller/retryoption.go
+++ b/internal/policy/caller/retryoption.go
@@ -24,3 +24,14 @@
 func WithAttempts(n lavenderridge.Attempt) RetryOption {
 	return func(p *RetryPolicy) { p.attempts = n }
 }
+
+// WithBudget makes the retry budgets follow the terms that f returns.
+func WithBudget(f func() BudgetTerms) RetryOption {
+	return func(p *RetryPolicy) { p.terms = f }
+}
+
+// WithFreeRerouting makes retries free after attempts that have reached no
+// backend server.
+func WithFreeRerouting() RetryOption {
+	return func(p *RetryPolicy) { p.free = true }
+}
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -29,13 +29,17 @@
 	backoff    time.Duration
 	maxBackoff time.Duration
 	random     func() float64
-	budgets    sync.Map // of lavenderridge.ServiceID to *RetryBudget
+	terms      func() BudgetTerms
+	// free tells that a retry takes from the budget only after an attempt that
+	// reached a backend server.
+	free    bool
+	budgets sync.Map // of lavenderridge.ServiceID to *RetryBudget
 }
 
 // NewRetryPolicy returns a policy that waits about 5 ms, 10 ms and so on, up
 // to 250 ms, between attempts.
 func NewRetryPolicy(o ...RetryOption) *RetryPolicy {
-	p := &RetryPolicy{attempts: defaultAttempts, backoff: defaultBackoff, maxBackoff: defaultMaxBackoff, random: rand.Float64}
+	p := &RetryPolicy{attempts: defaultAttempts, backoff: defaultBackoff, maxBackoff: defaultMaxBackoff, random: rand.Float64, terms: DefaultBudgetTerms}
 	for _, f := range o {
 		f(p)
 	}
@@ -58,6 +62,9 @@
 	if !t.Add(d).Before(r.Deadline) {
 		return 0, false
 	}
+	if !f.Offered && p.free {
+		return d, true
+	}
 	return d, p.budget(r.Service, t).Take(t)
 }
 
@@ -125,6 +132,6 @@
 	if v, o := p.budgets.Load(d); o {
 		return v.(*RetryBudget)
 	}
-	v, _ := p.budgets.LoadOrStore(d, NewRetryBudget(t))
+	v, _ := p.budgets.LoadOrStore(d, NewRetryBudget(p.terms, t))
 	return v.(*RetryBudget)
 }
--- a/internal/policy/configservice/delta.go
+++ b/internal/policy/configservice/delta.go
@@ -16,6 +16,7 @@
 		Instances:   diff(a.Instances, b.Instances, overrideKey, same[lavenderridge.InstanceOverride]),
 		Services:    diff(a.Services, b.Services, serviceKey, same[lavenderridge.Service]),
 		Entries:     diff(a.Entries, b.Entries, entryKey, sameEntry),
+		Callers:     b.Callers,
 	}
 }
 
@@ -26,17 +27,18 @@
 		Instances:   patch(a.Instances, d.Instances, overrideKey),
 		Services:    patch(a.Services, d.Services, serviceKey),
 		Entries:     patch(a.Entries, d.Entries, entryKey),
+		Callers:     d.Callers,
 	}
 }
 
 // DiffInstanceList returns what turns a into b.
 func DiffInstanceList(a, b *lavenderridge.InstanceList) *lavenderridge.InstanceListDelta {
-	return &lavenderridge.InstanceListDelta{Instances: diff(a.Instances, b.Instances, instanceKey, same[lavenderridge.Instance])}
+	return &lavenderridge.InstanceListDelta{Instances: diff(a.Instances, b.Instances, instanceKey, same[lavenderridge.Instance]), Evacuated: b.Evacuated}
 }
 
 // PatchInstanceList returns the instance list that d makes of a.
 func PatchInstanceList(a *lavenderridge.InstanceList, d *lavenderridge.InstanceListDelta) *lavenderridge.InstanceList {
-	return &lavenderridge.InstanceList{Instances: patch(a.Instances, d.Instances, instanceKey)}
+	return &lavenderridge.InstanceList{Instances: patch(a.Instances, d.Instances, instanceKey), Evacuated: d.Evacuated}
 }
 
 func dataCentreKey(d *lavenderridge.DataCentre) lavenderridge.DataCentreID   { return d.ID }
--- a/internal/policy/configservice/validate.go
+++ b/internal/policy/configservice/validate.go
@@ -16,6 +16,7 @@
 	maxServices    = 1 << 12
 	maxEntries     = 1 << 13
 	maxMethods     = 16
+	maxShares      = 64
 	maxName        = 200
 	maxPath        = 1 << 10
 	maxSlots       = 1 << 16
@@ -80,6 +81,8 @@
 		v.between(p+".Slots", float64(s.Slots), 1, maxSlots)
 		v.between(p+".Connections", float64(s.Connections), 1, maxSlots)
 		v.between(p+".Queue", float64(s.Queue), 0, maxSlots)
+		v.between(p+".ColdRate", float64(s.ColdRate), 0, math.MaxInt32)
+		v.between(p+".ColdStart", float64(s.ColdStart), 0, math.MaxInt64)
 	}
 }
 
@@ -99,7 +102,19 @@
 func (v *validator) entry(p string, e *lavenderridge.Entry) {
 	v.name(p+".Owner", string(e.Owner), false)
 	if e.Class < lavenderridge.ClassBackground || e.Class > lavenderridge.ClassCritical {
-		v.findings.Add(p+".Class", "want Background, Normal or Critical")
+		v.findings.Add(p+".Class", "want Background, Normal, Urgent or Critical")
+	}
+	for _, s := range e.Split {
+		if !v.services[s.Service] {
+			v.findings.Add(p+".Split", "no service %q in this catalogue", s.Service)
+		}
+		v.between(p+".Split.Weight", s.Weight, 0, math.MaxInt32)
+	}
+	if len(e.Split) > maxShares {
+		v.findings.Add(p+".Split", "%d shares are above the limit of %d", len(e.Split), maxShares)
+	}
+	if len(e.Host) > maxName {
+		v.findings.Add(p+".Host", "%d bytes are above the limit of %d", len(e.Host), maxName)
 	}
 	if !v.services[e.Service] {
 		v.findings.Add(p+".Service", "no service %q in this catalogue", e.Service)
@@ -136,7 +151,7 @@
 		if m == "" || strings.ToUpper(m) != m && m != "any method" {
 			v.findings.Add(p+".Methods", "%q is not a method in capitals", m)
 		}
-		k := m + " " + e.PathPrefix
+		k := m + " " + e.Host + e.PathPrefix
 		if o, x := r[k]; x {
 			v.findings.Add(p+".PathPrefix", "entry %q has the same path prefix and method (%s)", o, m)
 			return
--- a/internal/policy/instancelist/validate.go
+++ b/internal/policy/instancelist/validate.go
@@ -12,6 +12,7 @@
 const (
 	maxInstances = 1 << 14
 	maxName      = 200
+	maxSlots     = 1 << 16
 )
 
 // Validate returns every fault of l: empty, duplicate or overlong names,
@@ -32,6 +33,9 @@
 		m[n.ID] = true
 		validateInstance(&f, p, n)
 	}
+	for _, d := range l.Evacuated {
+		checkName(&f, fmt.Sprintf("Evacuated[%q]", d), string(d))
+	}
 	return f
 }
 
@@ -42,6 +46,12 @@
 	if n.State != lavenderridge.InstanceLive && n.State != lavenderridge.InstanceLeaving {
 		f.Add(p+".State", "%q is not a state; want Live or Leaving", n.State)
 	}
+	if n.Slots < 0 || n.Slots > maxSlots {
+		f.Add(p+".Slots", "%d is not between 0 and %d", n.Slots, maxSlots)
+	}
+	if n.ColdLeft < 0 {
+		f.Add(p+".ColdLeft", "%s is below 0", n.ColdLeft)
+	}
 	if !isAddress(n.Peer) {
 		f.Add(p+".Peer", "%q is not an IP number with a port", n.Peer)
 	}
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -11,27 +11,14 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// Headers that tell the backend server about a request.
 const (
-	// RequestIDHeader carries the request's ID.
-	RequestIDHeader = "X-Request-Id"
-	// TimeoutHeader carries the time left, in milliseconds.
-	TimeoutHeader = "X-Request-Timeout-Ms"
-	// DepthHeader carries the number of services passed through.
-	DepthHeader = "X-Request-Depth"
-	// NoRetryHeader tells that a layer above owns the retries.
-	NoRetryHeader = "X-Request-No-Retry"
-)
-
-const (
-	healthPath     = "/healthz"
+	defaultHealth  = "/healthz"
 	maxHealth      = 64 << 10
 	defaultSilence = time.Second
 	probeTimeout   = 500 * time.Millisecond
@@ -49,6 +36,8 @@
 	health      *pool
 	checking    atomic.Bool
 	newPool     func() (*pool, error)
+	protocol    lavenderridge.BackendProtocol
+	healthPath  func() string
 }
 
 var _ lavenderridge.BackendServer = (*Client)(nil)
@@ -56,7 +45,10 @@
 // NewClient returns a client of the backend server at the address a with at
 // most n connections. Responses above m bytes are refused.
 func NewClient(c context.Context, a lavenderridge.Address, n lavenderridge.Connections, m lavenderridge.ByteCount, o ...Option) (*Client, error) {
-	l := &Client{address: a, connections: n, maxBody: m, silence: defaultSilence, dialer: newDialer(max(2, n))}
+	l := &Client{
+		address: a, connections: n, maxBody: m, silence: defaultSilence, dialer: newDialer(max(2, n)),
+		protocol: Protocol{}, healthPath: func() string { return "" },
+	}
 	for _, f := range o {
 		f(l)
 	}
@@ -75,6 +67,9 @@
 // only when no byte of the request was sent.
 func (l *Client) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	s := &sending{}
+	// A connection on which a request ended early is not used again.
+	c, f := context.WithCancel(c)
+	defer f()
 	q, e := l.newRequest(httptrace.WithClientTrace(c, s.trace()), r)
 	if e != nil {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e.Error())
@@ -94,7 +89,19 @@
 // readResponse reads a response to its end. One whose end cannot be told from
 // a lost connection is refused.
 func (l *Client) readResponse(c context.Context, r *lavenderridge.Request, p *http.Response, s *sending) (*lavenderridge.Response, error) {
-	if endsWithConnection(r.Method, p) {
+	h := lavenderridge.Header(p.Header)
+	if !l.protocol.Matches(r, h) {
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response is for another request")
+	}
+	if n, o := l.protocol.NotRun(p.StatusCode, h); o {
+		f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, n, fmt.Sprintf("the backend server answered %d", p.StatusCode))
+		f.Offered = true
+		return nil, f
+	}
+	if l.protocol.Promises(p.StatusCode) {
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Sprintf("the backend server answered %d and may have run the request", p.StatusCode))
+	}
+	if !l.protocol.AllowsUnframed() && endsWithConnection(r.Method, p) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response has neither a length nor chunks")
 	}
 	b, e := io.ReadAll(io.LimitReader(p.Body, int64(l.maxBody)+1))
@@ -149,14 +156,12 @@
 	q.ContentLength = int64(len(r.Body))
 	maps.Copy(q.Header, http.Header(r.Header))
 	rename(q.Header, keyField, hiddenKeyField)
-	q.Header.Set(RequestIDHeader, string(r.ID))
-	q.Header.Set(DepthHeader, strconv.Itoa(int(r.Depth)))
-	if r.NoRetry {
-		q.Header.Set(NoRetryHeader, "true")
-	}
-	if d, o := c.Deadline(); o {
-		q.Header.Set(TimeoutHeader, strconv.FormatInt(time.Until(d).Milliseconds(), 10))
+	q.Host = r.Host
+	var d time.Duration
+	if t, o := c.Deadline(); o {
+		d = max(time.Until(t), time.Nanosecond)
 	}
+	l.protocol.WriteRequest(lavenderridge.Header(q.Header), r, d)
 	return q, nil
 }
 
@@ -181,7 +186,9 @@
 	case errors.Is(e, errTooManyConnections):
 		r = lavenderridge.ReasonLimit
 	}
-	return lavenderridge.NewRefusal(o, r, e.Error())
+	f := lavenderridge.NewRefusal(o, r, e.Error())
+	f.Offered = o == lavenderridge.OutcomeUnknown
+	return f
 }
 
 // checkSilence replaces the pool o when a request in it has no answer while a
@@ -220,7 +227,7 @@
 // returns a Refusal with the reason Unreachable when that fails at once.
 func (l *Client) Probe(c context.Context) (lavenderridge.Health, error) {
 	var h lavenderridge.Health
-	q, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+string(l.address)+healthPath, http.NoBody)
+	q, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+string(l.address)+l.pathOfHealth(), http.NoBody)
 	if e != nil {
 		return h, fmt.Errorf("backendhttp: %w", e)
 	}
@@ -229,12 +236,22 @@
 		return h, probeFailure(c, e)
 	}
 	defer func() { _ = p.Body.Close() }()
+	if v, o := l.protocol.Health(p.StatusCode, lavenderridge.Header(p.Header)); o {
+		return v, nil
+	}
 	if e := json.NewDecoder(io.LimitReader(p.Body, maxHealth)).Decode(&h); e != nil {
 		return h, fmt.Errorf("backendhttp: probe: %w", e)
 	}
 	return h, nil
 }
 
+func (l *Client) pathOfHealth() string {
+	if p := l.healthPath(); p != "" {
+		return p
+	}
+	return defaultHealth
+}
+
 func probeFailure(c context.Context, e error) error {
 	var n *net.OpError
 	if c.Err() == nil && errors.As(e, &n) && n.Op == "dial" && !n.Timeout() {
--- /dev/null
+++ b/internal/transport/backendhttp/protocol.go
@@ -0,0 +1,64 @@
+package backendhttp
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// Headers that tell the backend server about a request.
+const (
+	// RequestIDHeader carries the request's ID.
+	RequestIDHeader = "X-Request-Id"
+	// TimeoutHeader carries the time left, in milliseconds.
+	TimeoutHeader = "X-Request-Timeout-Ms"
+	// DepthHeader carries the number of services passed through.
+	DepthHeader = "X-Request-Depth"
+	// NoRetryHeader tells that a layer above owns the retries.
+	NoRetryHeader = "X-Request-No-Retry"
+)
+
+// A Protocol is the system's own protocol of backend servers. They tell their
+// health in the body of a health check.
+type Protocol struct{}
+
+var _ lavenderridge.BackendProtocol = Protocol{}
+
+// WriteRequest implements lavenderridge.BackendProtocol.
+func (Protocol) WriteRequest(h lavenderridge.Header, r *lavenderridge.Request, d time.Duration) {
+	h[RequestIDHeader] = []string{string(r.ID)}
+	h[DepthHeader] = []string{strconv.Itoa(int(r.Depth))}
+	if r.NoRetry {
+		h[NoRetryHeader] = []string{"true"}
+	}
+	if d > 0 {
+		h[TimeoutHeader] = []string{strconv.FormatInt(d.Milliseconds(), 10)}
+	}
+}
+
+// Matches implements lavenderridge.BackendProtocol.
+func (Protocol) Matches(*lavenderridge.Request, lavenderridge.Header) bool {
+	return true
+}
+
+// NotRun implements lavenderridge.BackendProtocol. A refusal of a backend
+// server is its response.
+func (Protocol) NotRun(int, lavenderridge.Header) (lavenderridge.Reason, bool) {
+	return "", false
+}
+
+// Promises implements lavenderridge.BackendProtocol.
+func (Protocol) Promises(int) bool {
+	return false
+}
+
+// Health implements lavenderridge.BackendProtocol.
+func (Protocol) Health(int, lavenderridge.Header) (lavenderridge.Health, bool) {
+	return lavenderridge.Health{}, false
+}
+
+// AllowsUnframed implements lavenderridge.BackendProtocol.
+func (Protocol) AllowsUnframed() bool {
+	return false
+}
--- /dev/null
+++ b/internal/transport/callerhttp/protocol.go
@@ -0,0 +1,113 @@
+package callerhttp
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// Headers of the caller protocol.
+const (
+	RequestIDHeader      = "X-Request-Id"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	TimeoutHeader        = "X-Request-Timeout-Ms"
+	DepthHeader          = "X-Request-Depth"
+	OutcomeHeader        = "X-Refusal-Outcome"
+	ReasonHeader         = "X-Refusal-Reason"
+	RetriedHeader        = "X-Refusal-Retried"
+	TargetHeader         = "X-Served-By"
+	// NoRetryHeader tells that a layer above owns the retries.
+	NoRetryHeader = "X-Request-No-Retry"
+)
+
+const maxRequestID = 128
+
+// A Protocol is the system's own protocol of callers.
+type Protocol struct{}
+
+var _ lavenderridge.CallerProtocol = Protocol{}
+
+// ReadRequest implements lavenderridge.CallerProtocol.
+func (Protocol) ReadRequest(r *lavenderridge.Request, t time.Time) error {
+	h := r.Header
+	r.ID = lavenderridge.RequestID(h.Get(RequestIDHeader))
+	r.Key = lavenderridge.IdempotencyKey(h.Get(IdempotencyKeyHeader))
+	r.NoRetry = h.Get(NoRetryHeader) == "true"
+	if r.ID == "" {
+		r.ID = lavenderridge.RequestID(uuid.NewString())
+	}
+	if len(r.ID) > maxRequestID {
+		return badHeader(RequestIDHeader, "longer than 128 bytes")
+	}
+	if len(h[IdempotencyKeyHeader]) > 1 {
+		return badHeader(IdempotencyKeyHeader, "sent twice")
+	}
+	if v := h.Get(TimeoutHeader); v != "" {
+		n, e := strconv.ParseInt(v, 10, 32)
+		if e != nil || n <= 0 {
+			return badHeader(TimeoutHeader, v)
+		}
+		r.Deadline = t.Add(time.Duration(n) * time.Millisecond)
+	}
+	if v := h.Get(DepthHeader); v != "" {
+		n, e := strconv.ParseUint(v, 10, 8)
+		if e != nil || n == math.MaxUint8 {
+			return badHeader(DepthHeader, v)
+		}
+		r.Depth = lavenderridge.Depth(n)
+	}
+	return nil
+}
+
+func badHeader(k, v string) error {
+	return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, fmt.Sprintf("bad %s header %q", k, v))
+}
+
+// WriteResponse implements lavenderridge.CallerProtocol.
+func (Protocol) WriteResponse(h lavenderridge.Header, p *lavenderridge.Response) {
+	h[RequestIDHeader] = []string{string(p.ID)}
+	h[TargetHeader] = []string{string(p.Sender.Instance)}
+}
+
+// WriteRefusal implements lavenderridge.CallerProtocol.
+func (Protocol) WriteRefusal(h lavenderridge.Header, d lavenderridge.RequestID, r *lavenderridge.Refusal) int {
+	if d != "" {
+		h[RequestIDHeader] = []string{string(d)}
+	}
+	h[OutcomeHeader] = []string{r.Outcome.String()}
+	h[ReasonHeader] = []string{string(r.Reason)}
+	if r.Retried {
+		h[RetriedHeader] = []string{"true"}
+	}
+	if r.RetryAfter > 0 {
+		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds())))}
+	}
+	return refusalStatus(r)
+}
+
+func refusalStatus(r *lavenderridge.Refusal) int {
+	switch r.Reason {
+	case lavenderridge.ReasonNoRoute:
+		return http.StatusNotFound
+	case lavenderridge.ReasonBadRequest:
+		return http.StatusBadRequest
+	case lavenderridge.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case lavenderridge.ReasonLimit:
+		return http.StatusTooManyRequests
+	case lavenderridge.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case lavenderridge.ReasonBadKey, lavenderridge.ReasonKeyInUse:
+		return http.StatusConflict
+	}
+	if r.Outcome == lavenderridge.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- a/internal/transport/cataloguetoml/file.go
+++ b/internal/transport/cataloguetoml/file.go
@@ -87,7 +87,7 @@
 func (v *fileEntry) entry(f *lavenderridge.Findings, p string) lavenderridge.Entry {
 	c, o := lavenderridge.ParseClass(v.Class)
 	if !o {
-		f.Add(p+".Class", "%q is not a class; want Background, Normal or Critical", v.Class)
+		f.Add(p+".Class", "%q is not a class; want Background, Normal, Urgent or Critical", v.Class)
 	}
 	return lavenderridge.Entry{
 		ID: lavenderridge.EntryID(v.ID), Owner: lavenderridge.OwnerID(v.Owner), Class: c,
--- a/internal/transport/peerquic/message.go
+++ b/internal/transport/peerquic/message.go
@@ -31,6 +31,12 @@
 	Target      lavenderridge.InstanceID
 	Incarnation lavenderridge.Incarnation
 	Versions    wireVersions
+	Host        string
+	Caller      lavenderridge.ServiceID
+	Backend     lavenderridge.BackendID
+	// Objective is the time left until the objective, which may be over.
+	Objective    time.Duration
+	HasObjective bool
 }
 
 // wireResponse is the compact form of a response.
@@ -59,6 +65,7 @@
 	InFlight lavenderridge.Slots
 	Queued   lavenderridge.Slots
 	Limit    lavenderridge.Slots
+	Pace     lavenderridge.Ratio
 }
 
 // wireRefusal is the form of a refusal in a reply.
@@ -73,6 +80,10 @@
 		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body,
 		Key: r.Key, Idempotent: r.Idempotent, Depth: r.Depth, NoRetry: r.NoRetry,
 		Target: r.Target, Incarnation: r.Sender.Incarnation, Versions: newWireVersions(r.Sender.Stamps),
+		Host: r.Host, Caller: r.Caller, Backend: r.Backend,
+	}
+	if !r.Objective.IsZero() {
+		w.Objective, w.HasObjective = r.Objective.Sub(t), true
 	}
 	if !r.Deadline.IsZero() {
 		w.Remaining = max(r.Deadline.Sub(t), time.Nanosecond)
@@ -87,7 +98,10 @@
 		ID: w.ID, Attempt: w.Attempt, Entry: w.Entry, Service: w.Service, Class: w.Class,
 		Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body,
 		Key: w.Key, Idempotent: w.Idempotent, Depth: w.Depth, NoRetry: w.NoRetry,
-		Target: w.Target, Sender: s,
+		Target: w.Target, Sender: s, Host: w.Host, Caller: w.Caller, Backend: w.Backend,
+	}
+	if w.HasObjective {
+		r.Objective = t.Add(w.Objective)
 	}
 	if w.Remaining > 0 {
 		r.Deadline = t.Add(w.Remaining)
@@ -98,7 +112,7 @@
 func newWireResponse(p *lavenderridge.Response) *wireResponse {
 	return &wireResponse{
 		ID: p.ID, Attempt: p.Attempt, Status: p.Status, Header: p.Header, Body: p.Body,
-		Load:       wireLoad{InFlight: p.Load.InFlight, Queued: p.Load.Queued, Limit: p.Load.Limit},
+		Load:       wireLoad{InFlight: p.Load.InFlight, Queued: p.Load.Queued, Limit: p.Load.Limit, Pace: p.Load.Pace},
 		DataCentre: p.Sender.DataCentre, Incarnation: p.Sender.Incarnation, Versions: newWireVersions(p.Sender.Stamps),
 	}
 }
@@ -107,7 +121,7 @@
 func (w *wireResponse) response(n lavenderridge.InstanceID) *lavenderridge.Response {
 	return &lavenderridge.Response{
 		ID: w.ID, Attempt: w.Attempt, Status: w.Status, Header: w.Header, Body: w.Body,
-		Load:   lavenderridge.Load{InFlight: w.Load.InFlight, Queued: w.Load.Queued, Limit: w.Load.Limit},
+		Load:   lavenderridge.Load{InFlight: w.Load.InFlight, Queued: w.Load.Queued, Limit: w.Load.Limit, Pace: w.Load.Pace},
 		Sender: lavenderridge.Sender{Instance: n, DataCentre: w.DataCentre, Incarnation: w.Incarnation, Stamps: w.Versions.stamps()},
 	}
 }
--- a/internal/transport/peertls/keys.go
+++ b/internal/transport/peertls/keys.go
@@ -21,6 +21,8 @@
 type keyPair struct {
 	certificate *tls.Certificate
 	authorities *x509.CertPool
+	// unverified tells that any peer is taken at its word.
+	unverified bool
 }
 
 // NewKeys returns keys with the certificate c that trust the authorities p.
@@ -112,10 +114,14 @@
 }
 
 // Verify checks the peer's certificate chain and returns its identity.
+// Ephemeral keys check no chain.
 func (k *Keys) Verify(s tls.ConnectionState) (Identity, error) {
 	if len(s.PeerCertificates) == 0 {
 		return Identity{}, errors.New("peertls: the peer sent no certificate")
 	}
+	if k.current.Load().unverified {
+		return ParseIdentity(s.PeerCertificates[0])
+	}
 	m := x509.NewCertPool()
 	for _, c := range s.PeerCertificates[1:] {
 		m.AddCert(c)
--- a/load.go
+++ b/load.go
@@ -6,4 +6,7 @@
 	Queued   Slots
 	// Limit is the number of requests that the daemon admits at once now.
 	Limit Slots
+	// Pace is the recent time of requests there, as a part of the objectives of
+	// their entries; zero tells that it is not known.
+	Pace Ratio
 }
--- a/refusal.go
+++ b/refusal.go
@@ -13,6 +13,8 @@
 	Reason  Reason
 	// RetryAfter is the time to wait before a resend; zero gives no advice.
 	RetryAfter time.Duration
+	// Offered tells that the request reached a backend server.
+	Offered bool
 	// Place is the instance whose daemon refused.
 	Place InstanceID
 	// Detail explains the refusal to people.
--- a/request.go
+++ b/request.go
@@ -8,8 +8,11 @@
 	Attempt Attempt
 	Entry   EntryID
 	Service ServiceID
-	Class   Class
-	Method  string
+	// Caller is the service beside whose backend server the request began.
+	Caller ServiceID
+	Class  Class
+	Method string
+	Host   string
 	// Path holds the path and the query.
 	Path   string
 	Header Header
@@ -22,6 +25,11 @@
 	Depth    Depth
 	// NoRetry tells that a layer above owns the retries of this request.
 	NoRetry bool
+	// Objective is when the response should have come; zero stands for none.
+	Objective time.Time
+	// Backend is the run of the backend server that is to run the request;
+	// empty stands for any.
+	Backend BackendID
 	// Target is the instance that is to run the request.
 	Target InstanceID
 	// Sender is the daemon that forwarded the request.
--- a/service.go
+++ b/service.go
@@ -1,5 +1,7 @@
 package lavenderridge
 
+import "time"
+
 // A Service describes what each of its backend servers bears.
 type Service struct {
 	ID ServiceID
@@ -9,4 +11,12 @@
 	Connections Connections
 	// Queue bounds the requests that wait for a slot.
 	Queue Slots
+	// HealthPath is where a backend server tells its health; empty stands for
+	// the default path.
+	HealthPath string
+	// ColdRate bounds the requests in a second that a cold backend server
+	// bears; zero tells that there is no such bound.
+	ColdRate Rate
+	// ColdStart is how long a backend server is cold after its start.
+	ColdStart time.Duration
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -15,12 +15,14 @@
 	Stamps     Stamps
 	AcceptedAt time.Time
 
-	entries     []*Entry
+	entries     map[string][]*Entry // by host; "" holds those for all hosts
+	entriesByID map[EntryID]*Entry
 	services    map[ServiceID]*Service
 	dataCentres map[DataCentreID]*DataCentre
 	overrides   map[InstanceID]ServiceState
 	instances   map[InstanceID]*Instance
 	byService   map[ServiceID][]*Instance
+	evacuated   map[DataCentreID]bool
 }
 
 // NewSnapshot returns the snapshot of a catalogue and an instance list that
@@ -28,6 +30,9 @@
 func NewSnapshot(c *Catalogue, l *InstanceList, s Stamps, t time.Time) *Snapshot {
 	n := &Snapshot{
 		Catalogue: c, List: l, Stamps: s, AcceptedAt: t,
+		entries:     make(map[string][]*Entry),
+		entriesByID: make(map[EntryID]*Entry, len(c.Entries)),
+		evacuated:   make(map[DataCentreID]bool, len(l.Evacuated)),
 		services:    make(map[ServiceID]*Service, len(c.Services)),
 		dataCentres: make(map[DataCentreID]*DataCentre, len(c.DataCentres)),
 		overrides:   make(map[InstanceID]ServiceState, len(c.Instances)),
@@ -52,14 +57,21 @@
 		s.overrides[o.ID] = o.State
 	}
 	for i := range s.Catalogue.Entries {
-		s.entries = append(s.entries, &s.Catalogue.Entries[i])
+		e := &s.Catalogue.Entries[i]
+		s.entries[e.Host] = append(s.entries[e.Host], e)
+		s.entriesByID[e.ID] = e
+	}
+	for _, a := range s.entries {
+		slices.SortStableFunc(a, func(a, b *Entry) int {
+			return len(b.PathPrefix) - len(a.PathPrefix)
+		})
 	}
-	slices.SortStableFunc(s.entries, func(a, b *Entry) int {
-		return len(b.PathPrefix) - len(a.PathPrefix)
-	})
 }
 
 func (s *Snapshot) indexInstances() {
+	for _, d := range s.List.Evacuated {
+		s.evacuated[d] = true
+	}
 	for i := range s.List.Instances {
 		n := &s.List.Instances[i]
 		s.instances[n.ID] = n
@@ -72,9 +84,22 @@
 	return s.Stamps.Versions()
 }
 
-// Match returns the entry that a request's method and path select, or nil.
-func (s *Snapshot) Match(m, p string) *Entry {
-	for _, e := range s.entries {
+// Match returns the entry that a request's host, method and path select, or
+// nil. An entry for all hosts is taken when the host has none that fits.
+func (s *Snapshot) Match(h, m, p string) *Entry {
+	if e := match(s.entries[h], m, p); e != nil || h == "" {
+		return e
+	}
+	return match(s.entries[""], m, p)
+}
+
+// Entry returns the entry with the ID d, or nil.
+func (s *Snapshot) Entry(d EntryID) *Entry {
+	return s.entriesByID[d]
+}
+
+func match(a []*Entry, m, p string) *Entry {
+	for _, e := range a {
 		if strings.HasPrefix(p, e.PathPrefix) && (len(e.Methods) == 0 || slices.Contains(e.Methods, m)) {
 			return e
 		}
@@ -106,7 +131,7 @@
 // Eligible reports whether the instance n may be given new work: the platform
 // lists it as live, and the operators have it and its data centre in service.
 func (s *Snapshot) Eligible(n *Instance) bool {
-	if n == nil || n.State != InstanceLive || s.overrides[n.ID] == OutOfService {
+	if n == nil || n.State != InstanceLive || s.overrides[n.ID] == OutOfService || s.evacuated[n.DataCentre] {
 		return false
 	}
 	d := s.dataCentres[n.DataCentre]
