Recover from cold starts without a client-side shedder

Ruled out: late starts (all daemons were ready within a second), slots (the limit while cold is the rate).

Conclusion: the owner knows what its target bears; entries need not guess. Requests log one line each, bounded.

--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"os"
+	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
@@ -10,6 +12,7 @@
 
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/operator"
 	"github.com/lavenderridge/lavenderridge/platform"
 )
 
@@ -39,11 +42,13 @@
 	if len(f) > 0 {
 		return f
 	}
-	l, e := v.Log.Logger()
-	if e != nil {
-		return e
-	}
-	defer func() { _ = l.Sync() }()
+	w := operator.NewBoundedWriter(os.Stdout)
+	x, n := context.WithCancel(context.WithoutCancel(c))
+	var g sync.WaitGroup
+	g.Go(func() { w.Run(x) })
+	defer g.Wait()
+	defer n()
+	l := v.Log.Logger(w)
 	kratoslog.SetLogger(kratosLogger{log: l})
 	if !v.OperatorIsLoopback() {
 		l.Warn("OperatorAddressRemote", zap.String("Address", string(v.Daemon.Operator)))
--- a/internal/cmd/settings/log.go
+++ b/internal/cmd/settings/log.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"fmt"
-
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -31,22 +29,15 @@
 	}
 }
 
-// Logger returns a logger that writes to standard output.
-func (l Log) Logger() (*zap.Logger, error) {
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(l.Level)
-	c.Sampling = nil
-	c.OutputPaths = []string{"stdout"}
-	c.DisableStacktrace = true
-	c.EncoderConfig.TimeKey, c.EncoderConfig.MessageKey = "Time", "Event"
-	c.EncoderConfig.LevelKey, c.EncoderConfig.CallerKey = "Level", "Source"
-	c.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+// Logger returns a logger that writes to w.
+func (l Log) Logger(w zapcore.WriteSyncer) *zap.Logger {
+	c := zap.NewProductionEncoderConfig()
+	c.TimeKey, c.MessageKey = "Time", "Event"
+	c.LevelKey, c.CallerKey = "Level", "Source"
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	e := zapcore.NewJSONEncoder(c)
 	if !l.JSON {
-		c.Encoding = "console"
-	}
-	g, e := c.Build()
-	if e != nil {
-		return nil, fmt.Errorf("settings: logger: %w", e)
+		e = zapcore.NewConsoleEncoder(c)
 	}
-	return g, nil
+	return zap.New(zapcore.NewCore(e, w, l.Level))
 }
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/caller"
@@ -45,12 +46,21 @@
 	t := d.clock.Now()
 	r, g, p := newRouting(d)
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler)
-	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f)
-	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), callerpolicy.NewShedder(t, nil), d.clock, a)
+	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f, d.recorder)
+	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
 	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
 	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
 }
 
+// newShedder returns the shedder of overloaded services, or nil where owners
+// know what their backend servers bear.
+func newShedder(d *Daemon, t time.Time) *callerpolicy.Shedder {
+	if d.adapter != nil {
+		return nil
+	}
+	return callerpolicy.NewShedder(t, nil)
+}
+
 // newRouting returns the router, what it learns from, and the retries.
 func newRouting(d *Daemon) (lavenderridge.Router, lavenderridge.Tracker, *callerpolicy.RetryPolicy) {
 	if d.config.PlainRouting {
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -37,8 +37,8 @@
 	r := &operatorRecords{
 		journal: operator.NewJournal(n), burn: operator.NewBurnCounter(), keys: k, startedAt: d.clock.Now(),
 	}
-	d.recorder = r.journal
-	d.observer = operator.Observers{r.burn, r.journal, operator.NewRequestMetrics(d.metrics)}
+	d.recorder = operator.NewDecisionLog(r.journal, d.log)
+	d.observer = operator.Observers{r.burn, r.journal, operator.NewRequestMetrics(d.metrics), operator.NewRequestLog(d.log)}
 	r.register(d)
 	return r
 }
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -9,15 +10,24 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 )
 
-// doubtPeriod is the time between health checks of a backend server that may
-// have restarted.
-const doubtPeriod = 150 * time.Millisecond
+const (
+	// doubtPeriod is the time between health checks of a backend server that
+	// may have restarted.
+	doubtPeriod = 150 * time.Millisecond
+	// coldMargin is kept below the bound of a cold backend server, in requests.
+	coldMargin = 3
+	// failingRetryAfter is the wait that a refusal advises while the backend
+	// server fails many requests.
+	failingRetryAfter = 300 * time.Millisecond
+)
 
 // listedCapacity takes what the backend server bears from the instance list in
 // place of finding it out.
 type listedCapacity struct {
 	factor float64
 	slack  float64
+	// throttle lets in less of what the backend server fails.
+	throttle *backendserver.FailureThrottle
 	// effective is the service as this instance bears it.
 	effective atomic.Pointer[effectiveService]
 	// seen is the revision of the listing that was taken in last.
@@ -35,7 +45,7 @@
 // times f and s requests more.
 func WithListedCapacity(f, s float64) OwnerOption {
 	return func(h *OwnerHandler) {
-		h.listed = &listedCapacity{factor: f, slack: s}
+		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64)}
 		h.limiterOptions = append(h.limiterOptions, backendserver.WithFixedLimit())
 	}
 }
@@ -77,19 +87,43 @@
 	}
 }
 
-// enterCold counts a request at the time t, or refuses it when the backend
-// server is cold and bears no more.
-func (h *OwnerHandler) enterCold(v *lavenderridge.Service, t time.Time) error {
-	if h.cold == nil {
+// admitListed refuses a request at the time t that a cold or failing backend
+// server would not answer.
+func (h *OwnerHandler) admitListed(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) error {
+	if h.listed == nil {
 		return nil
 	}
-	r := lavenderridge.Rate(float64(v.ColdRate)*h.listed.factor + h.listed.slack)
-	if w := h.cold.Enter(r, t); w > 0 {
+	if w := h.cold.Wait(h.listed.coldRate(v), r.Class, t); w > 0 {
 		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
 	}
+	if !h.listed.throttle.Admit(r.Entry, t) {
+		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server fails many of these requests", failingRetryAfter)
+	}
 	return nil
 }
 
+// enterCold counts a request that is sent at the time t, or refuses it when the
+// backend server is cold and bears no more.
+func (h *OwnerHandler) enterCold(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) error {
+	if h.listed == nil {
+		return nil
+	}
+	if w := h.cold.Enter(h.listed.coldRate(v), r.Class, t); w > 0 {
+		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
+	}
+	return nil
+}
+
+// coldRate returns what a cold backend server of the service v is given in a
+// second. The margin keeps requests that are sent in one second and arrive in
+// the next within the bound.
+func (l *listedCapacity) coldRate(v *lavenderridge.Service) lavenderridge.Rate {
+	if v.ColdRate <= 0 {
+		return 0
+	}
+	return max(1, v.ColdRate, lavenderridge.Rate(float64(v.ColdRate)*l.factor+l.slack-coldMargin))
+}
+
 // doubt takes the backend server for restarted until a health check tells.
 func (h *OwnerHandler) doubt() {
 	if h.cold == nil {
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -128,6 +128,9 @@
 
 // handleFreely runs a request that is not suspected.
 func (h *OwnerHandler) handleFreely(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
+	if e := h.admitListed(v, r, t); e != nil {
+		return nil, e
+	}
 	x, e := h.admission.Enter(v, r.Class, r.Deadline, t)
 	if e != nil {
 		return nil, h.placed(e)
@@ -236,7 +239,7 @@
 	if _, e := h.check(r, b); e != nil {
 		return nil, e
 	}
-	if e := h.enterCold(v, b); e != nil {
+	if e := h.enterCold(v, r, b); e != nil {
 		return nil, e
 	}
 	p, e := h.backend.Handle(c, r)
@@ -254,6 +257,9 @@
 func (h *OwnerHandler) answered(r *lavenderridge.Request, p *lavenderridge.Response, v *lavenderridge.Service, d time.Duration, t time.Time) {
 	h.unreachable.Store(false)
 	h.learnPace(r, d)
+	if h.listed != nil {
+		h.listed.throttle.Ended(r.Entry, p.Status < http.StatusInternalServerError, t)
+	}
 	if h.suspects.Succeeded(r, t) {
 		h.record("SuspectCleared", "the backend server answered it", t)
 	}
--- a/internal/daemon/caller/limithandler.go
+++ b/internal/daemon/caller/limithandler.go
@@ -18,7 +18,9 @@
 
 var _ SnapshotHandler = (*LimitHandler)(nil)
 
-// NewLimitHandler returns a handler that passes to n what l and s admit.
+// NewLimitHandler returns a handler that passes to n what l and s admit. The
+// shedder may be nil: where owners refuse before anything is spent, its memory
+// only keeps requests from targets that accept again.
 func NewLimitHandler(l *caller.EntryLimiter, s *caller.Shedder, k lavenderridge.Clock, n SnapshotHandler) *LimitHandler {
 	return &LimitHandler{limiter: l, shedder: s, clock: k, next: n}
 }
@@ -26,14 +28,19 @@
 // HandleIn implements SnapshotHandler.
 func (h *LimitHandler) HandleIn(c context.Context, s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	t := h.clock.Now()
-	if v := h.shedder.Enter(r.Service, r.Class, t); v != nil {
-		return nil, caller.Refuse(r, v)
+	if h.shedder != nil {
+		if v := h.shedder.Enter(r.Service, r.Class, t); v != nil {
+			return nil, caller.Refuse(r, v)
+		}
 	}
 	if v := h.limiter.Enter(e, r.Class, t); v != nil {
 		return nil, caller.Refuse(r, v)
 	}
 	defer h.limiter.Leave(e)
 	p, v := h.next.HandleIn(c, s, e, r)
+	if h.shedder == nil {
+		return p, v
+	}
 	o := v == nil || lavenderridge.AsRefusal(v).Reason != lavenderridge.ReasonOverloaded
 	h.shedder.End(r.Service, o, h.clock.Now())
 	return p, v
--- a/internal/daemon/caller/observehandler.go
+++ b/internal/daemon/caller/observehandler.go
@@ -35,11 +35,12 @@
 	}
 	t := h.clock.Now()
 	o := lavenderridge.Observation{
-		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b),
+		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b), Service: r.Service,
 	}
 	if v != nil {
 		o.Refusal = lavenderridge.AsRefusal(v)
 	} else {
+		o.Target, o.Attempt, o.Status = p.Sender.Instance, p.Attempt, p.Status
 		o.Good = p.Status < http.StatusInternalServerError && (e.Objective.Latency == 0 || o.Latency <= e.Objective.Latency)
 	}
 	h.observer.Observe(o)
--- a/internal/daemon/caller/retry_test.go
+++ b/internal/daemon/caller/retry_test.go
@@ -32,6 +32,8 @@
 
 func (m *retryModel) Now() time.Time { return m.now }
 
+func (m *retryModel) Record(lavenderridge.Decision) {}
+
 func (m *retryModel) Snapshot() *lavenderridge.Snapshot { return nil }
 
 // Attempt draws a response, a NotRun that holds, or an Unknown that may hide
@@ -60,7 +62,7 @@
 func TestRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &retryModel{t: t, now: time.Unix(4_000_000_000, 0)}
-		h := caller.NewRetryHandler(callerpolicy.NewRetryPolicy(callerpolicy.WithBackoff(0, 0)), m, m, m)
+		h := caller.NewRetryHandler(callerpolicy.NewRetryPolicy(callerpolicy.WithBackoff(0, 0)), m, m, m, m)
 		begin, requests, retries := m.now, 0, 0
 		t.Repeat(map[string]func(*rapid.T){
 			"burst": func(*rapid.T) {
@@ -127,6 +129,8 @@
 
 func (l *layer) Now() time.Time { return time.Unix(4_000_000_000, 0) }
 
+func (l *layer) Record(lavenderridge.Decision) {}
+
 func (l *layer) Snapshot() *lavenderridge.Snapshot { return nil }
 
 func (l *layer) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, _ []lavenderridge.InstanceID) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
@@ -149,7 +153,7 @@
 		for range 1000 {
 			p.Begin("s", l.Now())
 		}
-		l.retry = caller.NewRetryHandler(p, l, l, l)
+		l.retry = caller.NewRetryHandler(p, l, l, l, l)
 		if b == nil {
 			b = l
 		}
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
@@ -16,13 +17,15 @@
 	snapshots lavenderridge.SnapshotSource
 	clock     lavenderridge.Clock
 	next      Attempter
+	recorder  lavenderridge.Recorder
 }
 
 var _ SnapshotHandler = (*RetryHandler)(nil)
 
-// NewRetryHandler returns a handler that makes attempts with n by the policy p.
-func NewRetryHandler(p *caller.RetryPolicy, s lavenderridge.SnapshotSource, k lavenderridge.Clock, n Attempter) *RetryHandler {
-	return &RetryHandler{policy: p, snapshots: s, clock: k, next: n}
+// NewRetryHandler returns a handler that makes attempts with n by the policy p
+// and tells d of those that failed.
+func NewRetryHandler(p *caller.RetryPolicy, s lavenderridge.SnapshotSource, k lavenderridge.Clock, n Attempter, d lavenderridge.Recorder) *RetryHandler {
+	return &RetryHandler{policy: p, snapshots: s, clock: k, next: n, recorder: d}
 }
 
 // HandleIn implements SnapshotHandler.
@@ -43,6 +46,7 @@
 			return nil, a.Conclude(r, f)
 		}
 		a.Add(n, f)
+		h.record(&q, n, f)
 		d, o := h.policy.Next(e, r, a.Count(), f, h.clock.Now())
 		if !o || lavenderridge.Sleep(c, d) != nil {
 			return nil, a.Conclude(r, f)
@@ -52,6 +56,15 @@
 	}
 }
 
+// record tells of an attempt of r at the instance n that was refused with f.
+func (h *RetryHandler) record(r *lavenderridge.Request, n lavenderridge.InstanceID, f *lavenderridge.Refusal) {
+	h.recorder.Record(lavenderridge.Decision{
+		Time: h.clock.Now(), Event: "AttemptFailed", Subject: string(r.ID),
+		Reason:   fmt.Sprintf("attempt %d at %s (in flight %d, queued %d, limit %d): %s, %s: %s", r.Attempt, n, f.Load.InFlight, f.Load.Queued, f.Load.Limit, f.Reason, f.Outcome, f.Detail),
+		Versions: f.Versions,
+	})
+}
+
 // latest returns the snapshot in force, or s when that lacks the service d.
 func (h *RetryHandler) latest(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *lavenderridge.Snapshot {
 	if n := h.snapshots.Snapshot(); n != nil && n.Service(d) != nil {
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -39,7 +39,7 @@
 	p := callerpolicy.NewRetryPolicy(callerpolicy.WithJitter(func() float64 { return 0 }))
 	self := func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a", DataCentre: "dc-0"} }
 	f := caller.NewForwardHandler(r, r, peerpolicy.NewHomeRouter(), s, s, self, target{s, "a"})
-	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f))
+	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f, s))
 	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewObserveHandler(s, s, "dc-0", l))
 	return s
 }
@@ -47,6 +47,8 @@
 func (s *session) Now() time.Time                    { return s.now }
 func (s *session) Snapshot() *lavenderridge.Snapshot { return s.snapshot }
 
+func (s *session) Record(lavenderridge.Decision) {}
+
 func (s *session) Observe(o lavenderridge.Observation) { s.observed = o }
 
 func (s *session) Ready(time.Time) error {
--- a/internal/policy/backendserver/coldgate.go
+++ b/internal/policy/backendserver/coldgate.go
@@ -15,6 +15,11 @@
 	// unprovenRetry is the wait that a refusal advises while it is not known
 	// whether the backend server is cold.
 	unprovenRetry = 100 * time.Millisecond
+	// coldRetry is the wait that a refusal advises to a class for which there is
+	// no room.
+	coldRetry = 300 * time.Millisecond
+	// lowShare divides the rate into the part that no higher class can take.
+	lowShare = 10
 )
 
 // A ColdGate bounds the requests in any second that reach a cold backend
@@ -24,12 +29,20 @@
 	mutex    sync.Mutex
 	until    time.Time
 	unproven bool
-	sent     []time.Time
+	// sent and asked hold the requests of the last second that were sent, and
+	// those that asked to be.
+	sent, asked []coldRequest
 	// blocked ends the time of which the requests are not known, because
 	// another process sent them.
 	blocked time.Time
 }
 
+// coldRequest is a request to a cold backend server.
+type coldRequest struct {
+	time  time.Time
+	class lavenderridge.Class
+}
+
 // NewColdGate returns a gate before an unproven backend server, to which an
 // earlier process may have sent requests up to the time t.
 func NewColdGate(t time.Time) *ColdGate {
@@ -81,35 +94,73 @@
 	return g.unproven || t.Before(g.until)
 }
 
-// Enter counts a request at the time t and returns zero, or returns the wait
-// until a cold backend server bears it. A cold one bears the rate r; zero
-// stands for no bound.
-func (g *ColdGate) Enter(r lavenderridge.Rate, t time.Time) time.Duration {
+// Wait returns how long a request of the class k has to wait at the time t, or
+// zero. A cold backend server bears the rate r; zero stands for no bound. The
+// request counts as asked for, so that lower classes leave room for its class.
+func (g *ColdGate) Wait(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.forget(t)
 	if r <= 0 || !g.cold(t) {
-		g.sent = append(g.sent, t)
 		return 0
 	}
+	g.asked = append(forget(g.asked, t), coldRequest{time: t, class: k})
+	return g.wait(r, k, t)
+}
+
+// Enter counts a request of the class k that is sent at the time t and returns
+// zero, or returns the wait as Wait does.
+func (g *ColdGate) Enter(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if r > 0 && g.cold(t) {
+		if d := g.wait(r, k, t); d > 0 {
+			return d
+		}
+	}
+	g.sent = append(forget(g.sent, t), coldRequest{time: t, class: k})
+	return 0
+}
+
+// wait returns how long a request of the class k has to wait for its place
+// among those of the last second.
+func (g *ColdGate) wait(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
 	if t.Before(g.blocked) {
 		return max(g.blocked.Sub(t), unprovenRetry)
 	}
+	g.sent, g.asked = forget(g.sent, t), forget(g.asked, t)
 	n := max(1, int(math.Floor(float64(r))))
-	if len(g.sent) < n {
-		g.sent = append(g.sent, t)
-		return 0
+	if len(g.sent) >= n {
+		return g.sent[len(g.sent)-n].time.Add(coldWindow).Sub(t)
+	}
+	l, h := divide(g.sent, k)
+	_, d := divide(g.asked, k)
+	// What higher classes ask for is kept for them, but for a small part.
+	if l+max(h, min(d, n)) >= n && l >= max(1, n/lowShare) {
+		return coldRetry
+	}
+	return 0
+}
+
+// divide counts the requests of a up to the class k and those above.
+func divide(a []coldRequest, k lavenderridge.Class) (l, h int) {
+	for _, v := range a {
+		if v.class > k {
+			h++
+		} else {
+			l++
+		}
 	}
-	return g.sent[len(g.sent)-n].Add(coldWindow).Sub(t)
+	return l, h
 }
 
-// forget drops what was sent before the window that ends at t.
-func (g *ColdGate) forget(t time.Time) {
+// forget drops what came before the window that ends at t.
+func forget(a []coldRequest, t time.Time) []coldRequest {
 	i := 0
-	for i < len(g.sent) && t.Sub(g.sent[i]) > coldWindow {
+	for i < len(a) && t.Sub(a[i].time) > coldWindow {
 		i++
 	}
-	if i > 0 {
-		g.sent = append(g.sent[:0], g.sent[i:]...)
+	if i == 0 {
+		return a
 	}
+	return append(a[:0], a[i:]...)
 }
