Bound waits by the objective and fail fast while connecting

Ruled out: the budget of retries (refusals of owners cost nothing), CPU (0.08 of a core at most).

Conclusion: within a class the earliest objective goes first, which also puts calls of running requests ahead; a wait that outlasts the objective is refused at once.

--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -24,8 +24,9 @@
 // listedCapacity takes what the backend server bears from the instance list in
 // place of finding it out.
 type listedCapacity struct {
-	factor float64
-	slack  float64
+	factor    float64
+	slack     float64
+	latencies backendserver.LatencyBook
 	// throttle lets in less of what the backend server fails.
 	throttle *backendserver.FailureThrottle
 	// effective is the service as this instance bears it.
@@ -63,6 +64,21 @@
 	return &o.service
 }
 
+// waitDeadline returns until when r, which comes at the time t, may wait for a
+// slot. An answer after the objective is worth little, and one refused early can
+// go elsewhere or come again in time. The admission adds the usual latency of
+// all requests, which is taken out for that of the entry.
+func (h *OwnerHandler) waitDeadline(r *lavenderridge.Request) time.Time {
+	if h.listed == nil || r.Objective.IsZero() {
+		return r.Deadline
+	}
+	d := r.Objective.Add(h.limiter.Latency() - h.listed.latencies.Latency(r.Entry))
+	if !r.Deadline.IsZero() && r.Deadline.Before(d) {
+		return r.Deadline
+	}
+	return d
+}
+
 // load returns what the backend server bears under the service v, which may be
 // nil.
 func (h *OwnerHandler) load(v *lavenderridge.Service) lavenderridge.Load {
@@ -82,6 +98,9 @@
 	if s == nil {
 		return
 	}
+	if h.listed != nil {
+		h.listed.latencies.Learn(r.Entry, d)
+	}
 	if e := s.Entry(r.Entry); e != nil {
 		h.pace.Learn(d, e.Objective.Latency)
 	}
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -131,7 +131,7 @@
 	if e := h.admitListed(v, r, t); e != nil {
 		return nil, e
 	}
-	x, e := h.admission.Enter(v, r.Class, r.Deadline, t)
+	x, e := h.admission.EnterOrdered(v, r.Class, h.waitDeadline(r), r.Objective, t)
 	if e != nil {
 		return nil, h.placed(e)
 	}
--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -27,7 +27,7 @@
 	// mutex guards what follows. It is taken only when a request has to wait
 	// anyway, or when one that waits may be let in.
 	mutex     sync.Mutex
-	queue     []*Waiter // highest class first, then by arrival
+	queue     []*Waiter // highest class first, then by objective and arrival
 	aloneRuns bool
 	aloneAsks int
 	blocked   time.Time // when the request that runs alone began to hold up others
@@ -43,10 +43,16 @@
 // the service v bounds the backend server. It returns nil and nil when the
 // request is admitted, a Waiter when it has to wait, or a Refusal.
 func (a *Admission) Enter(v *lavenderridge.Service, k lavenderridge.Class, d, t time.Time) (*Waiter, error) {
+	return a.EnterOrdered(v, k, d, time.Time{}, t)
+}
+
+// EnterOrdered is like Enter for a request that goes before those of its class
+// whose objective is later than o.
+func (a *Admission) EnterOrdered(v *lavenderridge.Service, k lavenderridge.Class, d, o, t time.Time) (*Waiter, error) {
 	if a.waiting.Load() == 0 && a.take(a.limit(v)) {
 		return nil, nil
 	}
-	return a.enterSlowly(&Waiter{service: v, class: k, deadline: d}, t)
+	return a.enterSlowly(&Waiter{service: v, class: k, deadline: d, objective: o}, t)
 }
 
 // EnterAlone is like Enter for a request that must run with no other.
@@ -184,7 +190,7 @@
 
 func (a *Admission) position(w *Waiter) int {
 	for i, o := range a.queue {
-		if o.class < w.class {
+		if o.class < w.class || o.class == w.class && w.precedes(o) {
 			return i
 		}
 	}
--- a/internal/policy/backendserver/waiter.go
+++ b/internal/policy/backendserver/waiter.go
@@ -11,9 +11,11 @@
 	service  *lavenderridge.Service
 	class    lavenderridge.Class
 	deadline time.Time
-	alone    bool
-	decided  chan struct{}
-	err      error
+	// objective is zero for a request without one.
+	objective time.Time
+	alone     bool
+	decided   chan struct{}
+	err       error
 }
 
 // Decided is closed when the waiter has a slot or is refused.
@@ -35,3 +37,8 @@
 func (w *Waiter) late(t time.Time) bool {
 	return !w.deadline.IsZero() && !t.Before(w.deadline)
 }
+
+// precedes reports whether w has an earlier objective than o.
+func (w *Waiter) precedes(o *Waiter) bool {
+	return !w.objective.IsZero() && (o.objective.IsZero() || w.objective.Before(o.objective))
+}
--- a/internal/transport/peerquic/dial.go
+++ b/internal/transport/peerquic/dial.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
 
+var errConnecting = errors.New("still connecting")
+
 // dial is an attempt to connect that several calls wait for.
 type dial struct {
 	done       chan struct{}
@@ -22,12 +26,17 @@
 	close(d.done)
 }
 
-// wait returns the connection, or an error when there is none by the end of c.
+// wait returns the connection, or an error when there is none by the end of c
+// or when the calls have waited enough.
 func (d *dial) wait(c context.Context) (*quic.Conn, error) {
+	t := time.NewTimer(connectPatience)
+	defer t.Stop()
 	select {
 	case <-d.done:
 		return d.connection, d.failure
 	case <-c.Done():
 		return nil, c.Err()
+	case <-t.C:
+		return nil, errConnecting
 	}
 }
--- a/internal/transport/peerquic/option.go
+++ b/internal/transport/peerquic/option.go
@@ -17,7 +17,7 @@
 }
 
 // WithSilence sets how long calls wait without a reply before their connection
-// is probed; the default is 250 ms.
+// is probed; the default is 150 ms.
 func WithSilence(d time.Duration) Option {
 	return func(t *Transport) { t.silence = d }
 }
--- a/internal/transport/peerquic/probe.go
+++ b/internal/transport/peerquic/probe.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	sweepInterval = 100 * time.Millisecond
-	pingTimeout   = 250 * time.Millisecond
+	sweepInterval = 50 * time.Millisecond
+	pingTimeout   = 200 * time.Millisecond
 	// forgetAfter is how long an unused link is kept.
 	forgetAfter = 10 * time.Minute
 )
--- a/internal/transport/peerquic/transport.go
+++ b/internal/transport/peerquic/transport.go
@@ -21,9 +21,12 @@
 
 const (
 	defaultMaxMessage = 8 * lavenderridge.Mebibyte
-	defaultSilence    = 250 * time.Millisecond
+	defaultSilence    = 150 * time.Millisecond
 
 	dialTimeout = time.Second
+	// connectPatience bounds how long a call waits for a connection: several
+	// times what a handshake takes on a slow processor. The dial goes on.
+	connectPatience = 200 * time.Millisecond
 	// redialTimeout bounds a dial that follows a failed one.
 	redialTimeout = 300 * time.Millisecond
 	idleTimeout   = 30 * time.Second
