Choose targets by the expected part of late answers and by bytes

Cause: two random choices ignored that targets differ in speed, fail or slow down, and remote targets were taken for large responses.

Conclusion: the cost is the part of requests expected late plus the price of bytes; refusals of owners no longer count as attempts.

--- a/internal/daemon/assembly/discard.go
+++ b/internal/daemon/assembly/discard.go
@@ -31,6 +31,10 @@
 // Begin implements lavenderridge.Tracker.
 func (discard) Begin(lavenderridge.ServiceID, lavenderridge.InstanceID) {}
 
+// Answered implements lavenderridge.Tracker.
+func (discard) Answered(lavenderridge.ServiceID, lavenderridge.InstanceID, lavenderridge.EntryID, int, lavenderridge.ByteCount) {
+}
+
 // End implements lavenderridge.Tracker.
 func (discard) End(lavenderridge.ServiceID, lavenderridge.InstanceID, lavenderridge.Load, *lavenderridge.Refusal, time.Time) {
 }
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -66,7 +66,11 @@
 	if d.config.PlainRouting {
 		return callerpolicy.NewRoundRobinRouter(), discard{}, callerpolicy.NewRetryPolicy(callerpolicy.WithAttempts(1))
 	}
-	b := callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now())
+	var o []callerpolicy.RouterOption
+	if d.adapter != nil {
+		o = append(o, callerpolicy.WithPace())
+	}
+	b := callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now(), o...)
 	return b, b, callerpolicy.NewRetryPolicy(retryOptions(d)...)
 }
 
--- a/internal/daemon/caller/forwardhandler.go
+++ b/internal/daemon/caller/forwardhandler.go
@@ -86,6 +86,7 @@
 		l = f.Load
 	} else {
 		l = p.Load
+		h.tracker.Answered(q.Service, q.Target, q.Entry, p.Status, lavenderridge.ByteCount(len(q.Body)+len(p.Body)))
 	}
 	h.tracker.End(q.Service, q.Target, l, f, h.clock.Now())
 }
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -47,7 +47,7 @@
 		}
 		a.Add(n, f)
 		h.record(&q, n, f)
-		d, o := h.policy.Next(e, r, a.Count(), f, h.clock.Now())
+		d, o := h.policy.Next(e, r, &a, f, h.clock.Now())
 		if !o || lavenderridge.Sleep(c, d) != nil {
 			return nil, a.Conclude(r, f)
 		}
--- a/internal/policy/caller/attempts.go
+++ b/internal/policy/caller/attempts.go
@@ -14,12 +14,16 @@
 	count    lavenderridge.Attempt
 	unknown  bool
 	homeSaid bool
+	offered  lavenderridge.Attempt
 }
 
 // Add counts an attempt at the target n that was refused with f. The refusal
 // is the target's own when it carries its name.
 func (a *Attempts) Add(n lavenderridge.InstanceID, f *lavenderridge.Refusal) {
 	a.count++
+	if f.Offered {
+		a.offered++
+	}
 	a.unknown = a.unknown || f.Outcome != lavenderridge.OutcomeNotRun
 	a.homeSaid = n != "" && f.Place == n && f.Outcome == lavenderridge.OutcomeNotRun
 }
@@ -29,6 +33,11 @@
 	return a.count
 }
 
+// Offered returns the number of attempts that reached a backend server.
+func (a *Attempts) Offered() lavenderridge.Attempt {
+	return a.offered
+}
+
 // Conclude returns the refusal for the caller of r after the last attempt, or
 // a decision before the first, gave f. It says NotRun only if every attempt is
 // proven not to have run; for a keyed non-idempotent request its home must
--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -11,6 +11,8 @@
 
 const (
 	defaultSubset = 16
+	// sizeWeight is the number of requests over which sizes are averaged.
+	sizeWeight = 8
 
 	noTargetRetryAfter = time.Second
 )
@@ -27,7 +29,10 @@
 	start      time.Time
 	subset     int
 	random     func(n int) int
-	services   sync.Map // of lavenderridge.ServiceID to *atomic.Pointer[routeTable]
+	// paced makes the router choose by the expected time.
+	paced    bool
+	sizes    sync.Map // of lavenderridge.EntryID to *atomic.Int64
+	services sync.Map // of lavenderridge.ServiceID to *atomic.Pointer[routeTable]
 }
 
 var (
@@ -47,13 +52,42 @@
 
 // Route implements lavenderridge.Router.
 func (b *BalancedRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Time) (*lavenderridge.Instance, error) {
-	n := b.table(s, r.Service).choose(b.random, x, t.Sub(b.start))
+	n := b.choose(b.table(s, r.Service), r, x, t.Sub(b.start))
 	if n == nil {
 		return nil, noTarget()
 	}
 	return n.instance, nil
 }
 
+func (b *BalancedRouter) choose(v *routeTable, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Duration) *target {
+	if b.paced {
+		return v.choosePaced(b.random, x, t, b.size(r.Entry))
+	}
+	return v.choose(b.random, x, t)
+}
+
+// Answered implements lavenderridge.Tracker.
+func (b *BalancedRouter) Answered(d lavenderridge.ServiceID, i lavenderridge.InstanceID, e lavenderridge.EntryID, c int, n lavenderridge.ByteCount) {
+	if v := b.state(d, i); v != nil {
+		v.answered(c)
+	}
+	p, o := b.sizes.Load(e)
+	if !o {
+		p, _ = b.sizes.LoadOrStore(e, &atomic.Int64{})
+	}
+	v := p.(*atomic.Int64)
+	k := v.Load()
+	v.CompareAndSwap(k, k+(int64(n)-k)/sizeWeight)
+}
+
+// size returns the usual size of a request of the entry e with its response.
+func (b *BalancedRouter) size(e lavenderridge.EntryID) lavenderridge.ByteCount {
+	if p, o := b.sizes.Load(e); o {
+		return lavenderridge.ByteCount(p.(*atomic.Int64).Load())
+	}
+	return 0
+}
+
 // Begin implements lavenderridge.Tracker.
 func (b *BalancedRouter) Begin(d lavenderridge.ServiceID, n lavenderridge.InstanceID) {
 	if v := b.state(d, n); v != nil {
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -18,6 +18,9 @@
 	homeAttempts lavenderridge.Attempt = 6
 	// homeWaitShare divides the time left into the bounds of these waits.
 	homeWaitShare time.Duration = 8
+	// maxReroutes bounds the further attempts of a request that owners refuse
+	// before it reaches a backend server.
+	maxReroutes lavenderridge.Attempt = 3
 
 	defaultBackoff    = 5 * time.Millisecond
 	defaultMaxBackoff = 250 * time.Millisecond
@@ -52,13 +55,13 @@
 }
 
 // Next tells how long to wait before the next attempt of the request r under
-// the entry e, after n attempts of which the last was refused with f. It
+// the entry e, after the attempts a of which the last was refused with f. It
 // reports false when there must be none.
-func (p *RetryPolicy) Next(e *lavenderridge.Entry, r *lavenderridge.Request, n lavenderridge.Attempt, f *lavenderridge.Refusal, t time.Time) (time.Duration, bool) {
-	if f.Retried || n >= p.maxAttempts(e, r, f) || !repeatable(r, f) {
+func (p *RetryPolicy) Next(e *lavenderridge.Entry, r *lavenderridge.Request, a *Attempts, f *lavenderridge.Refusal, t time.Time) (time.Duration, bool) {
+	if f.Retried || !p.allows(e, r, a, f) || !repeatable(r, f) {
 		return 0, false
 	}
-	d := p.wait(r, n, f, t)
+	d := p.wait(r, a.Count(), f, t)
 	if !t.Add(d).Before(r.Deadline) {
 		return 0, false
 	}
@@ -68,6 +71,17 @@
 	return d, p.budget(r.Service, t).Take(t)
 }
 
+// allows reports whether the number of attempts allows another one. Where
+// rerouting is free, only attempts that reached a backend server count for the
+// bound of the entry.
+func (p *RetryPolicy) allows(e *lavenderridge.Entry, r *lavenderridge.Request, a *Attempts, f *lavenderridge.Refusal) bool {
+	n := p.maxAttempts(e, r, f)
+	if !p.free {
+		return a.Count() < n
+	}
+	return a.Offered() < n && a.Count() < n+maxReroutes
+}
+
 func (p *RetryPolicy) maxAttempts(e *lavenderridge.Entry, r *lavenderridge.Request, f *lavenderridge.Refusal) lavenderridge.Attempt {
 	n := p.attempts
 	if homeChanges(r, f) && n > 1 {
@@ -124,6 +138,9 @@
 	if n == 1 && f.Outcome == lavenderridge.OutcomeNotRun && f.Reason != lavenderridge.ReasonOverloaded {
 		return 0
 	}
+	if p.free && !f.Offered {
+		return 0
+	}
 	b := min(p.backoff<<min(n-1, 16), p.maxBackoff)
 	return time.Duration(p.random() * float64(b))
 }
--- a/internal/policy/caller/routeroption.go
+++ b/internal/policy/caller/routeroption.go
@@ -14,3 +14,10 @@
 func WithRandom(f func(n int) int) RouterOption {
 	return func(b *BalancedRouter) { b.random = f }
 }
+
+// WithPace makes the router choose the target that is expected to answer first,
+// and count bytes to other data centres as time. It needs targets that report
+// their pace.
+func WithPace() RouterOption {
+	return func(b *BalancedRouter) { b.paced = true }
+}
--- a/internal/policy/caller/target.go
+++ b/internal/policy/caller/target.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,9 @@
 	// reported holds the requests of other daemons and the limit.
 	reported   atomic.Uint64
 	reportedAt atomic.Int64
+	// pace and failing are the bits of floating-point numbers: the reported pace
+	// and the part of responses that tell of a failure.
+	pace, failing atomic.Uint64
 	// excludedUntil ends the time in which the target gets no new work.
 	excludedUntil atomic.Int64
 	// failures counts the attempts that failed without a success between them.
@@ -95,6 +99,9 @@
 	o := max(int64(l.InFlight)+int64(l.Queued)-k, 0)
 	n.reported.Store(uint64(min(o, loadMask))<<loadBits | uint64(min(l.Limit, loadMask)))
 	n.reportedAt.Store(int64(t))
+	if l.Pace > 0 {
+		n.pace.Store(math.Float64bits(float64(l.Pace)))
+	}
 }
 
 // learn keeps what the refusal f tells of the target; nil is a success.
