Answer SIGHUP, keep homes dormant, and test the platform's path

A cold gate let a request in without looking at its rank when the oldest one was exactly a second old (found by TestColdGateOrder), and lapsed instances stayed up to two seconds too long (found by TestFollowerKeepsUp).

Settings are read again on SIGHUP and when they change; homes run only where callers send keys; a cold backend server's places go by class and then by the longer objective.

--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
@@ -35,6 +37,9 @@
 }
 
 func (s *serveCmd) run(c context.Context) error {
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
+	defer signal.Stop(h)
 	v, f := settings.Load(s.file)
 	if v != nil {
 		f = append(f, v.CheckPorts()...)
@@ -65,5 +70,8 @@
 	if e != nil {
 		return e
 	}
+	g.Go(func() {
+		settings.NewWatch(s.file, l, func(v *settings.Settings) bool { return d.Apply(v.Daemon) }).Run(x, h)
+	})
 	return d.Run(c)
 }
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -26,7 +27,9 @@
 	observer    lavenderridge.Observer
 	metrics     metrics.Registry
 	sourceOnly  bool
-	adapter     lavenderridge.Adapter
+	// service is that of the backend server beside the daemon.
+	service atomic.Pointer[lavenderridge.ServiceID]
+	adapter lavenderridge.Adapter
 
 	transport     *peerquic.Transport
 	server        *peerquic.Server
@@ -49,6 +52,7 @@
 	for _, v := range o {
 		v(d)
 	}
+	d.service.Store(&f.Service)
 	d.incarnation = lavenderridge.Incarnation(d.clock.Now().UnixNano())
 	if e := d.open(c, k); e != nil {
 		return nil, errors.Join(e, d.close())
@@ -112,11 +116,11 @@
 // Status returns what the daemon says of itself.
 func (d *Daemon) Status() operatorhttp.Status {
 	s := operatorhttp.Status{
-		Instance: d.config.Instance, DataCentre: d.config.DataCentre, Service: d.config.Service,
+		Instance: d.config.Instance, DataCentre: d.config.DataCentre, Service: *d.service.Load(),
 		Incarnation: d.incarnation, Load: d.owner.load(), Leaving: d.owner.leaving(),
 		Ready: d.configuration.Ready(d.clock.Now()) == nil,
 	}
-	s.Home = d.home.homes.Status()
+	s.Home = d.home.status()
 	if n := d.configuration.store.Snapshot(); n != nil {
 		s.Versions, s.AcceptedAt = n.Versions(), n.AcceptedAt
 		s.CatalogueDigest, s.InstanceListDigest = n.Stamps.Catalogue.Digest.String(), n.Stamps.InstanceList.Digest.String()
@@ -126,6 +130,13 @@
 	return s
 }
 
+// Apply puts in force what of the settings f can change while the daemon runs:
+// the service of its backend server. It reports whether anything changed.
+func (d *Daemon) Apply(f Config) bool {
+	o := d.service.Swap(&f.Service)
+	return *o != f.Service
+}
+
 // CallerAddress returns where the daemon answers callers.
 func (d *Daemon) CallerAddress() lavenderridge.Address {
 	return d.entry.address
--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -31,7 +31,7 @@
 
 func callerOptions(d *Daemon) []callerhttp.Option {
 	o := []callerhttp.Option{
-		callerhttp.WithCaller(func() lavenderridge.ServiceID { return d.config.Service }),
+		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
 	}
 	if d.adapter != nil {
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -42,7 +42,7 @@
 		backendhttp.WithProtocol(d.adapter.Backends()),
 		backendhttp.WithHealthPath(func() string {
 			if s := d.configuration.store.Snapshot(); s != nil {
-				if v := s.Service(d.config.Service); v != nil {
+				if v := s.Service(*d.service.Load()); v != nil {
 					return v.HealthPath
 				}
 			}
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -16,6 +16,8 @@
 	doubtPeriod = 150 * time.Millisecond
 	// coldMargin is kept below the bound of a cold backend server, in requests.
 	coldMargin = 3
+	// busyPart is the part of the slots from which on there is little room left.
+	busyPart = 0.7
 	// failingRetryAfter is the wait that a refusal advises while the backend
 	// server fails many requests.
 	failingRetryAfter = 300 * time.Millisecond
@@ -112,22 +114,37 @@
 	if h.listed == nil {
 		return nil
 	}
-	if w := h.cold.Wait(h.listed.coldRate(v), r.Class, t); w > 0 {
+	if w := h.cold.Wait(h.listed.coldRate(v), h.coldRank(r), t); w > 0 {
 		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
 	}
-	if !h.listed.throttle.Admit(r.Entry, t) {
+	if h.busy(v, t) && !h.listed.throttle.Admit(r.Entry, t) {
 		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server fails many of these requests", failingRetryAfter)
 	}
 	return nil
 }
 
+// busy reports whether a request that fails would take the place of another.
+func (h *OwnerHandler) busy(v *lavenderridge.Service, t time.Time) bool {
+	return float64(h.admission.InFlight()) >= busyPart*float64(v.Slots) || h.cold.Busy(h.listed.coldRate(v), t)
+}
+
+func (h *OwnerHandler) coldRank(r *lavenderridge.Request) backendserver.ColdRank {
+	k := backendserver.ColdRank{Class: r.Class}
+	if s := h.snapshots.Snapshot(); s != nil {
+		if e := s.Entry(r.Entry); e != nil {
+			k.Objective = e.Objective.Latency
+		}
+	}
+	return k
+}
+
 // enterCold counts a request that is sent at the time t, or refuses it when the
 // backend server is cold and bears no more.
 func (h *OwnerHandler) enterCold(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) error {
 	if h.listed == nil {
 		return nil
 	}
-	if w := h.cold.Enter(h.listed.coldRate(v), r.Class, t); w > 0 {
+	if w := h.cold.Enter(h.listed.coldRate(v), h.coldRank(r), t); w > 0 {
 		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
 	}
 	return nil
@@ -198,6 +215,13 @@
 		return
 	}
 	t := h.clock.Now()
-	h.cold.Told(p.Cold, t)
+	// A server that is not cold started long ago.
+	var b time.Time
+	if s := h.snapshots.Snapshot(); s != nil && p.Cold > 0 {
+		if v := s.Service(s.ServiceOf(h.self().Instance)); v != nil {
+			b = t.Add(p.Cold - v.ColdStart)
+		}
+	}
+	h.cold.Told(p.Cold, b, t)
 	h.record("BackendTold", "cold for "+p.Cold.String(), t)
 }
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -63,7 +63,7 @@
 			f.dropLapsed()
 			continue
 		}
-		if e := f.follow(c, p.Wait); e != nil {
+		if e := f.follow(c, f.waitOf(p.Wait)); e != nil {
 			n++
 			f.failed(c, e)
 			continue
@@ -74,6 +74,15 @@
 	return nil
 }
 
+// waitOf returns the wait w of a watch, shortened so that lapsed instances are
+// dropped when their time is over.
+func (f *Follower) waitOf(w time.Duration) time.Duration {
+	if t, o := f.mirror.Due(); o {
+		return max(0, min(w, t.Sub(f.clock.Now())))
+	}
+	return w
+}
+
 func (f *Follower) state(n int) configservice.ReadState {
 	t := f.clock.Now()
 	h := f.peerHeard()
--- a/internal/daemon/operator/boundedwriter.go
+++ b/internal/daemon/operator/boundedwriter.go
@@ -19,6 +19,9 @@
 	maxLineRate = 500
 )
 
+// linesLeftOut is the event that tells how many lines were left out.
+const linesLeftOut = "LogLinesLeftOut"
+
 // A BoundedWriter passes lines on from a goroutine of its own. Lines beyond its
 // bounds are left out and counted; nothing waits for the output.
 type BoundedWriter struct {
@@ -76,7 +79,7 @@
 func (w *BoundedWriter) renew() {
 	w.left.Store(maxLineRate)
 	if n := w.dropped.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(w.next, "{\"Level\":\"warn\",\"Event\":\"LogLinesLeftOut\",\"Count\":%d}\n", n)
+		_, _ = fmt.Fprintf(w.next, "{\"Level\":\"warn\",\"Event\":%q,\"Count\":%d}\n", linesLeftOut, n)
 	}
 }
 
--- a/internal/policy/backendserver/coldgate.go
+++ b/internal/policy/backendserver/coldgate.go
@@ -12,13 +12,17 @@
 	// coldWindow is the time in which the requests to a cold backend server
 	// are counted: its rate is that of a second.
 	coldWindow = time.Second
+	// sameStart is the difference between two starts that count as one.
+	sameStart = 300 * time.Millisecond
 	// unprovenRetry is the wait that a refusal advises while it is not known
 	// whether the backend server is cold.
 	unprovenRetry = 100 * time.Millisecond
-	// coldRetry is the wait that a refusal advises to a class for which there is
+	// coldRetry is the wait that a refusal advises to a rank for which there is
 	// no room.
 	coldRetry = 300 * time.Millisecond
-	// lowShare divides the rate into the part that no higher class can take.
+	// busyPart is the part of the rate from which on there is little room left.
+	busyPart = 0.7
+	// lowShare divides the rate into the part that no higher rank can take.
 	lowShare = 10
 )
 
@@ -39,8 +43,8 @@
 
 // coldRequest is a request to a cold backend server.
 type coldRequest struct {
-	time  time.Time
-	class lavenderridge.Class
+	time time.Time
+	ColdRank
 }
 
 // NewColdGate returns a gate before an unproven backend server, to which an
@@ -59,11 +63,16 @@
 	return !o
 }
 
-// Told takes in that the backend server was said to stay cold for d from t on.
-func (g *ColdGate) Told(d time.Duration, t time.Time) {
+// Told takes in that the backend server was said to stay cold for d from t on,
+// and that it started at the time b. One that is as young as this process has
+// got nothing from the process before.
+func (g *ColdGate) Told(d time.Duration, b, t time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.unproven, g.until = false, t.Add(d)
+	if b.After(g.blocked.Add(-coldWindow - sameStart)) {
+		g.blocked = time.Time{}
+	}
 }
 
 // Listed takes in that the instance list told at t that the backend server
@@ -94,22 +103,30 @@
 	return g.unproven || t.Before(g.until)
 }
 
-// Wait returns how long a request of the class k has to wait at the time t, or
+// Busy reports whether a cold backend server has little room left at the time t.
+func (g *ColdGate) Busy(r lavenderridge.Rate, t time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.sent = forget(g.sent, t)
+	return r > 0 && g.cold(t) && float64(len(g.sent)) >= busyPart*float64(r)
+}
+
+// Wait returns how long a request of the rank k has to wait at the time t, or
 // zero. A cold backend server bears the rate r; zero stands for no bound. The
-// request counts as asked for, so that lower classes leave room for its class.
-func (g *ColdGate) Wait(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
+// request counts as asked for, so that lower ranks leave room for its own.
+func (g *ColdGate) Wait(r lavenderridge.Rate, k ColdRank, t time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if r <= 0 || !g.cold(t) {
 		return 0
 	}
-	g.asked = append(forget(g.asked, t), coldRequest{time: t, class: k})
+	g.asked = append(forget(g.asked, t), coldRequest{time: t, ColdRank: k})
 	return g.wait(r, k, t)
 }
 
-// Enter counts a request of the class k that is sent at the time t and returns
+// Enter counts a request of the rank k that is sent at the time t and returns
 // zero, or returns the wait as Wait does.
-func (g *ColdGate) Enter(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
+func (g *ColdGate) Enter(r lavenderridge.Rate, k ColdRank, t time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if r > 0 && g.cold(t) {
@@ -117,13 +134,13 @@
 			return d
 		}
 	}
-	g.sent = append(forget(g.sent, t), coldRequest{time: t, class: k})
+	g.sent = append(forget(g.sent, t), coldRequest{time: t, ColdRank: k})
 	return 0
 }
 
-// wait returns how long a request of the class k has to wait for its place
+// wait returns how long a request of the rank k has to wait for its place
 // among those of the last second.
-func (g *ColdGate) wait(r lavenderridge.Rate, k lavenderridge.Class, t time.Time) time.Duration {
+func (g *ColdGate) wait(r lavenderridge.Rate, k ColdRank, t time.Time) time.Duration {
 	if t.Before(g.blocked) {
 		return max(g.blocked.Sub(t), unprovenRetry)
 	}
@@ -134,17 +151,17 @@
 	}
 	l, h := divide(g.sent, k)
 	_, d := divide(g.asked, k)
-	// What higher classes ask for is kept for them, but for a small part.
+	// What higher ranks ask for is kept for them, but for a small part.
 	if l+max(h, min(d, n)) >= n && l >= max(1, n/lowShare) {
 		return coldRetry
 	}
 	return 0
 }
 
-// divide counts the requests of a up to the class k and those above.
-func divide(a []coldRequest, k lavenderridge.Class) (l, h int) {
+// divide counts the requests of a up to the rank k and those above.
+func divide(a []coldRequest, k ColdRank) (l, h int) {
 	for _, v := range a {
-		if v.class > k {
+		if v.above(k) {
 			h++
 		} else {
 			l++
@@ -156,7 +173,7 @@
 // forget drops what came before the window that ends at t.
 func forget(a []coldRequest, t time.Time) []coldRequest {
 	i := 0
-	for i < len(a) && t.Sub(a[i].time) > coldWindow {
+	for i < len(a) && t.Sub(a[i].time) >= coldWindow {
 		i++
 	}
 	if i == 0 {
--- /dev/null
+++ b/internal/policy/backendserver/coldgate_test.go
@@ -0,0 +1,114 @@
+package backendserver_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+)
+
+// TestColdGate checks against a plain list that a cold backend server gets no
+// more than its rate in any second, over restarts of the daemon as well, and
+// that some requests are always let in.
+func TestColdGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate = 7
+		n := time.Unix(1000, 0)
+		g := backendserver.NewColdGate(n)
+		var sent []time.Time
+		warm := false
+		refused := time.Time{}
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				k := backendserver.ColdRank{
+					Class:     lavenderridge.Class(rapid.IntRange(1, 4).Draw(t, "class")),
+					Objective: time.Duration(rapid.IntRange(1, 3).Draw(t, "objective")) * time.Second,
+				}
+				if g.Wait(rate, k, n) > 0 || g.Enter(rate, k, n) > 0 {
+					if refused.IsZero() {
+						refused = n
+					}
+					return
+				}
+				refused = time.Time{}
+				if !warm {
+					sent = append(sent, n)
+				}
+			},
+			"time": func(t *rapid.T) {
+				n = n.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+			},
+			"told": func(t *rapid.T) {
+				c := time.Duration(rapid.IntRange(0, 2).Draw(t, "cold")) * 500 * time.Millisecond
+				g.Told(c, time.Time{}, n)
+				warm = c == 0
+			},
+			"doubt": func(*rapid.T) {
+				g.Doubt()
+				warm = false
+				sent = nil // what a warm server got before does not count
+			},
+			"restart": func(*rapid.T) {
+				g = backendserver.NewColdGate(n)
+				warm = false
+			},
+			"": func(t *rapid.T) {
+				if !g.Cold(n) {
+					warm = true
+				}
+				c := 0
+				for _, s := range sent {
+					if n.Sub(s) < time.Second {
+						c++
+					}
+				}
+				if c > rate {
+					t.Fatalf("%d requests in a second; want %d at most", c, rate)
+				}
+			},
+		})
+	})
+}
+
+// TestColdGateOrder checks that a higher rank finds room when a lower one asks
+// first, and that the lower one is not shut out.
+func TestColdGateOrder(t *testing.T) {
+	const rate = 20
+	n := time.Unix(1000, 0)
+	g := backendserver.NewColdGate(n.Add(-time.Minute))
+	low := backendserver.ColdRank{Class: lavenderridge.ClassNormal, Objective: time.Second}
+	high := backendserver.ColdRank{Class: lavenderridge.ClassUrgent, Objective: time.Second}
+	short := backendserver.ColdRank{Class: lavenderridge.ClassUrgent, Objective: time.Second / 4}
+	c := map[backendserver.ColdRank]int{}
+	// Three requests of the lower ranks for each of the highest, twice the rate.
+	for i := range 160 {
+		n = n.Add(25 * time.Millisecond)
+		k := []backendserver.ColdRank{low, short, low, high}[i%4]
+		if g.Wait(rate, k, n) == 0 && g.Enter(rate, k, n) == 0 {
+			c[k]++
+		}
+	}
+	if c[high] < 35 {
+		t.Errorf("%d of 40 requests of the highest rank", c[high])
+	}
+	if c[short] <= c[low] || c[low] == 0 {
+		t.Errorf("%d of the middle rank and %d of the lowest", c[short], c[low])
+	}
+}
+
+// TestColdGateSameStart checks that a backend server that started with the
+// daemon gets work at once.
+func TestColdGateSameStart(t *testing.T) {
+	n := time.Unix(1000, 0)
+	k := backendserver.ColdRank{Class: lavenderridge.ClassNormal}
+	for b, w := range map[time.Duration]bool{-100 * time.Millisecond: true, -2 * time.Second: false} {
+		g := backendserver.NewColdGate(n)
+		g.Told(2*time.Second, n.Add(b), n)
+		if o := g.Enter(5, k, n.Add(50*time.Millisecond)) == 0; o != w {
+			t.Errorf("started %s before: let in %t; want %t", -b, o, w)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/caller/budget_test.go
@@ -0,0 +1,61 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
+)
+
+// TestFleetBudget checks against plain counts that the retries of all daemons
+// together keep the bound in every window.
+func TestFleetBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window, ratio, extra = 10 * time.Second, 0.2, 64
+		k := rapid.IntRange(1, 30).Draw(t, "daemons")
+		n := time.Unix(1000, 0)
+		terms := func() caller.BudgetTerms { return caller.FleetBudgetTerms(ratio, extra, k) }
+		a := make([]*caller.RetryBudget, k)
+		for i := range a {
+			a[i] = caller.NewRetryBudget(terms, n)
+		}
+		var requests, retries []time.Time
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				b := a[rapid.IntRange(0, k-1).Draw(t, "daemon")]
+				for range rapid.IntRange(1, 40).Draw(t, "requests") {
+					b.Deposit()
+					requests = append(requests, n)
+				}
+			},
+			"retries": func(t *rapid.T) {
+				for _, b := range a {
+					for range rapid.IntRange(0, 10).Draw(t, "retries") {
+						if b.Take(n) {
+							retries = append(retries, n)
+						}
+					}
+				}
+			},
+			"time": func(t *rapid.T) {
+				n = n.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				c := func(s []time.Time, d time.Duration) (m int) {
+					for _, v := range s {
+						if n.Sub(v) < d {
+							m++
+						}
+					}
+					return m
+				}
+				// A retry may follow a request of the window before.
+				if r, q := c(retries, window), c(requests, 2*window); float64(r) > ratio*float64(q)+extra+0.01 {
+					t.Fatalf("%d retries for %d requests", r, q)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/policy/configservice/mirror_test.go
@@ -0,0 +1,83 @@
+package configservice_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
+)
+
+// mirrorFacts reads one fact a line: "key created revision what", where what is
+// an instance's ID, "catalogue:VERSION", "evacuated:DC", "nothing" or "deleted".
+func mirrorFacts(t *testing.T, d *datadriven.TestData) []lavenderridge.Fact {
+	t.Helper()
+	var a []lavenderridge.Fact
+	for l := range strings.Lines(d.Input) {
+		var f lavenderridge.Fact
+		var w string
+		if _, e := fmt.Sscan(l, &f.Key, &f.Created, &f.Revision, &w); e != nil {
+			d.Fatalf(t, "%v", e)
+		}
+		k, v, _ := strings.Cut(w, ":")
+		switch k {
+		case "deleted":
+			f.Deleted = true
+		case "nothing":
+		case "evacuated":
+			f.Evacuated = lavenderridge.DataCentreID(v)
+		case "catalogue":
+			f.Catalogue = &lavenderridge.PublishedCatalogue{Catalogue: &lavenderridge.Catalogue{}}
+			_, _ = fmt.Sscan(v, &f.Catalogue.Version)
+		default:
+			f.Instance = &lavenderridge.Instance{ID: lavenderridge.InstanceID(k), Backend: lavenderridge.BackendID(f.Key), State: lavenderridge.InstanceLive}
+		}
+		a = append(a, f)
+	}
+	return a
+}
+
+// TestMirror replays golden sessions of a mirror: listings, changes, outages and
+// lapsed instances.
+func TestMirror(t *testing.T) {
+	datadriven.Walk(t, "testdata/mirror", func(t *testing.T, p string) {
+		m, n := configservice.NewMirror(), time.Unix(1000, 0)
+		datadriven.RunTest(t, p, func(t *testing.T, d *datadriven.TestData) string {
+			var r uint64
+			d.MaybeScanArgs(t, "as-of", &r)
+			switch d.Cmd {
+			case "listed":
+				m.Listed(mirrorFacts(t, d), lavenderridge.Revision(r), n)
+			case "changed":
+				m.Changed(&lavenderridge.FactPage{Facts: mirrorFacts(t, d), AsOf: lavenderridge.Revision(r)}, n)
+			case "failed":
+				m.SourceFailed()
+			case "advance":
+				v, e := time.ParseDuration(d.CmdArgs[0].Key)
+				if e != nil {
+					d.Fatalf(t, "%v", e)
+				}
+				n = n.Add(v)
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			l, v := m.InstanceList(n)
+			var b strings.Builder
+			fmt.Fprintf(&b, "list %d, known to %d:", v, m.AsOf())
+			for _, i := range l.Instances {
+				fmt.Fprintf(&b, " %s=%s", i.ID, i.Backend)
+			}
+			if len(l.Evacuated) > 0 {
+				fmt.Fprintf(&b, ", evacuated %v", l.Evacuated)
+			}
+			if c := m.Catalogue(); c != nil {
+				fmt.Fprintf(&b, ", catalogue %d", c.Version)
+			}
+			return b.String() + "\n"
+		})
+	})
+}
--- /dev/null
+++ b/internal/standin/factsource/doc.go
@@ -0,0 +1,2 @@
+// Package factsource holds a stand-in for a platform's store of facts.
+package factsource
--- a/snapshot.go
+++ b/snapshot.go
@@ -122,6 +122,14 @@
 	return s.instances[d]
 }
 
+// ServiceOf returns the service of the listed instance with the ID d, or "".
+func (s *Snapshot) ServiceOf(d InstanceID) ServiceID {
+	if n := s.instances[d]; n != nil {
+		return n.Service
+	}
+	return ""
+}
+
 // Instances returns the listed instances of the service d, sorted by ID. The
 // caller must not change the slice.
 func (s *Snapshot) Instances(d ServiceID) []*Instance {
