Count attempts with an unknown outcome, and hear long replies

Ruled out: the router (each target was chosen once), owners (each run was admitted).

Each part of a reply counts as hearing now; an attempt that may have run counts as one that reached a backend server (TestAttemptsThatMayHaveRun failed before).

--- /dev/null
+++ b/internal/daemon/assembly/adapter_test.go
@@ -0,0 +1,184 @@
+package assembly_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/standin/factsource"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+// platformFleet is a fleet of daemons that read a stand-in of a platform's
+// store, one in each data centre.
+type platformFleet struct {
+	t        *testing.T
+	source   *factsource.Source
+	daemons  []*assembly.Daemon
+	backends []*backendserver.Server
+	stop     []func()
+}
+
+func newPlatformFleet(t *testing.T, n int) *platformFleet {
+	t.Helper()
+	f := &platformFleet{t: t, source: factsource.NewSource()}
+	f.publish(1, "roster")
+	for i := range n {
+		b := backendserver.NewServer(lavenderridge.InstanceID(fmt.Sprintf("n-%d", i)), 9, 5*time.Millisecond)
+		if e := b.Start(); e != nil {
+			t.Fatal(e)
+		}
+		t.Cleanup(b.Close)
+		f.backends = append(f.backends, b)
+		f.start(i)
+	}
+	for i := range n {
+		f.list(i, lavenderridge.InstanceLive)
+	}
+	f.wait(func(d *assembly.Daemon) bool {
+		return d.Status().Ready && d.Status().Versions.InstanceList >= 2*lavenderridge.Version(n+1)
+	})
+	return f
+}
+
+func (f *platformFleet) id(i int) lavenderridge.InstanceID {
+	return lavenderridge.InstanceID(fmt.Sprintf("n-%d", i))
+}
+
+func (f *platformFleet) centre(i int) lavenderridge.DataCentreID {
+	return lavenderridge.DataCentreID(fmt.Sprintf("dc-%d", i))
+}
+
+// start starts the daemon i, which replaces an earlier one.
+func (f *platformFleet) start(i int) {
+	f.t.Helper()
+	k, e := peertls.NewEphemeral(peertls.Identity{Instance: f.id(i), DataCentre: f.centre(i)}, time.Now())
+	if e != nil {
+		f.t.Fatal(e)
+	}
+	p := lavenderridge.Address("127.0.0.1:0")
+	if i < len(f.daemons) {
+		p = f.daemons[i].PeerAddress()
+	}
+	c, x := context.WithCancel(f.t.Context())
+	d, e := assembly.NewDaemon(c, assembly.Config{
+		Instance: f.id(i), DataCentre: f.centre(i), Service: "roster", Backend: f.backends[i].Address(), Connections: 20,
+		Caller: "127.0.0.1:0", Peer: p, Operator: "127.0.0.1:0", MaxBody: lavenderridge.Mebibyte,
+		StopTimeout: 2 * time.Second, FleetSize: 1, RetryRatio: 0.2, RetryExtra: 64, ColdFactor: 1,
+	}, k, assembly.WithAdapter(factsource.Adapter{Source: f.source}))
+	if e != nil {
+		f.t.Fatal(e)
+	}
+	done := make(chan error, 1)
+	go func() { done <- d.Run(c) }()
+	s := func() {
+		x()
+		if e := <-done; e != nil {
+			f.t.Error(e)
+		}
+	}
+	if i < len(f.daemons) {
+		f.daemons[i], f.stop[i] = d, s
+		return
+	}
+	f.daemons, f.stop = append(f.daemons, d), append(f.stop, s)
+	f.t.Cleanup(func() { f.stop[i]() })
+}
+
+func (f *platformFleet) list(i int, s lavenderridge.InstanceState) {
+	f.source.Put(lavenderridge.Fact{Key: lavenderridge.FactKey("i/" + f.id(i)), Instance: &lavenderridge.Instance{
+		ID: f.id(i), DataCentre: f.centre(i), Service: "roster", Peer: f.daemons[i].PeerAddress(), State: s, Slots: 9,
+	}})
+}
+
+func (f *platformFleet) publish(v lavenderridge.Version, s lavenderridge.ServiceID) {
+	c := &lavenderridge.Catalogue{Services: []lavenderridge.Service{{ID: s, Slots: 1, Connections: 20, Queue: 20}}}
+	for i := range 3 {
+		c.DataCentres = append(c.DataCentres, lavenderridge.DataCentre{ID: f.centre(i), Region: "r", State: lavenderridge.InService})
+	}
+	for _, p := range []lavenderridge.EntryID{"read", lavenderridge.EntryID(fmt.Sprintf("v%d", v))} {
+		c.Entries = append(c.Entries, lavenderridge.Entry{
+			ID: p, Owner: "o", Class: lavenderridge.ClassNormal, Service: s, PathPrefix: "/" + string(p) + "/", Idempotent: true,
+			Timeout: 2 * time.Second, Limits: lavenderridge.Limits{Attempts: 2},
+			Objective: lavenderridge.Objective{Success: 0.9, Latency: 500 * time.Millisecond},
+		})
+	}
+	f.source.Put(lavenderridge.Fact{Key: "catalogue", Catalogue: &lavenderridge.PublishedCatalogue{Version: v, Catalogue: c}})
+}
+
+func (f *platformFleet) wait(g func(d *assembly.Daemon) bool) {
+	f.t.Helper()
+	for e := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		o := true
+		for _, d := range f.daemons {
+			o = o && g(d)
+		}
+		if o {
+			return
+		}
+		if time.Now().After(e) {
+			f.t.Fatal("not within 10 s")
+		}
+	}
+}
+
+func (f *platformFleet) get(i int, p string) int {
+	f.t.Helper()
+	s, _, e := get(f.t.Context(), f.daemons[i].CallerAddress(), p)
+	if e != nil {
+		f.t.Error(e)
+	}
+	return s
+}
+
+// TestPlatformFleet serves requests by published facts: changes come into force
+// everywhere, an evacuated data centre and a leaving instance get nothing more,
+// and a daemon that starts while the source is down catches up from the others.
+func TestPlatformFleet(t *testing.T) {
+	f := newPlatformFleet(t, 3)
+	for i := range 3 {
+		if s := f.get(i, "/read/x"); s != http.StatusOK {
+			t.Errorf("daemon %d: status %d", i, s)
+		}
+	}
+	f.publish(5, "roster")
+	f.wait(func(d *assembly.Daemon) bool { return d.Status().Versions.Catalogue == 5 })
+	if s := f.get(2, "/v5/x"); s != http.StatusOK {
+		t.Errorf("an added entry: status %d", s)
+	}
+	if s := f.get(2, "/v1/x"); s != http.StatusNotFound {
+		t.Errorf("a removed entry: status %d", s)
+	}
+	r := f.source.Put(lavenderridge.Fact{Key: "z", Evacuated: "dc-0"})
+	f.wait(func(d *assembly.Daemon) bool {
+		return d.Status().Versions.InstanceList >= 2*lavenderridge.Version(r)
+	})
+	f.list(1, lavenderridge.InstanceLeaving)
+	f.wait(func(d *assembly.Daemon) bool {
+		return d.Status().Versions.InstanceList >= 2*lavenderridge.Version(r+1)
+	})
+	a, b := len(f.backends[0].Runs()), len(f.backends[1].Runs())
+	for i := range 30 {
+		if s := f.get(i%3, "/read/x"); s != http.StatusOK {
+			t.Errorf("status %d", s)
+		}
+	}
+	if n, m := len(f.backends[0].Runs())-a, len(f.backends[1].Runs())-b; n+m > 0 {
+		t.Errorf("%d runs in the evacuated data centre, %d at the leaving instance", n, m)
+	}
+	f.source.SetDown(true)
+	f.stop[1]()
+	f.start(1)
+	f.wait(func(d *assembly.Daemon) bool { return d.Status().Ready && d.Status().Versions.Catalogue == 5 })
+	if s := f.get(1, "/read/x"); s != http.StatusOK {
+		t.Errorf("a daemon that started without the source: status %d", s)
+	}
+	if h := f.daemons[0].Status().Home; h.Active || h.Entries > 0 {
+		t.Errorf("homes are not dormant: %+v", h)
+	}
+}
--- a/internal/policy/caller/attempts.go
+++ b/internal/policy/caller/attempts.go
@@ -21,7 +21,7 @@
 // is the target's own when it carries its name.
 func (a *Attempts) Add(n lavenderridge.InstanceID, f *lavenderridge.Refusal) {
 	a.count++
-	if f.Offered {
+	if mayHaveReached(f) {
 		a.offered++
 	}
 	a.unknown = a.unknown || f.Outcome != lavenderridge.OutcomeNotRun
@@ -33,7 +33,14 @@
 	return a.count
 }
 
-// Offered returns the number of attempts that reached a backend server.
+// mayHaveReached reports whether an attempt that was refused with f may have
+// reached a backend server.
+func mayHaveReached(f *lavenderridge.Refusal) bool {
+	return f.Offered || f.Outcome != lavenderridge.OutcomeNotRun
+}
+
+// Offered returns the number of attempts that may have reached a backend
+// server.
 func (a *Attempts) Offered() lavenderridge.Attempt {
 	return a.offered
 }
--- a/internal/policy/caller/budget_test.go
+++ b/internal/policy/caller/budget_test.go
@@ -6,9 +6,37 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
 )
 
+// TestAttemptsThatMayHaveRun checks that an attempt with an unknown outcome
+// counts for the bound of its entry and takes from the budget, as one that is
+// known to have reached a backend server does.
+func TestAttemptsThatMayHaveRun(t *testing.T) {
+	n := time.Unix(1000, 0)
+	p := caller.NewRetryPolicy(caller.WithFreeRerouting(), caller.WithBudget(func() caller.BudgetTerms { return caller.FleetBudgetTerms(0, 1, 1) }))
+	e := &lavenderridge.Entry{Limits: lavenderridge.Limits{Attempts: 2}}
+	r := &lavenderridge.Request{Service: "s", Idempotent: true, Deadline: n.Add(time.Second)}
+	unknown := lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonConnectionLost, "")
+	owner := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "")
+	var a caller.Attempts
+	for i, v := range []struct {
+		refusal *lavenderridge.Refusal
+		again   bool
+	}{{owner, true}, {unknown, true}, {owner, true}, {unknown, false}} {
+		a.Add("n", v.refusal)
+		if _, o := p.Next(e, r, &a, v.refusal, n); o != v.again {
+			t.Errorf("after attempt %d: again %t; want %t", i+1, o, v.again)
+		}
+	}
+	var b caller.Attempts
+	b.Add("n", unknown)
+	if _, o := p.Next(e, r, &b, unknown, n); o {
+		t.Error("a retry beyond the budget")
+	}
+}
+
 // TestFleetBudget checks against plain counts that the retries of all daemons
 // together keep the bound in every window.
 func TestFleetBudget(t *testing.T) {
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -65,7 +65,7 @@
 	if !t.Add(d).Before(r.Deadline) {
 		return 0, false
 	}
-	if !f.Offered && p.free {
+	if !mayHaveReached(f) && p.free {
 		return d, true
 	}
 	return d, p.budget(r.Service, t).Take(t)
@@ -138,7 +138,7 @@
 	if n == 1 && f.Outcome == lavenderridge.OutcomeNotRun && f.Reason != lavenderridge.ReasonOverloaded {
 		return 0
 	}
-	if p.free && !f.Offered {
+	if p.free && !mayHaveReached(f) {
 		return 0
 	}
 	b := min(p.backoff<<min(n-1, 16), p.maxBackoff)
--- /dev/null
+++ b/internal/standin/factsource/adapter.go
@@ -0,0 +1,28 @@
+package factsource
+
+import (
+	"context"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/callerhttp"
+)
+
+// An Adapter gives the stand-in source to daemons, with the system's own
+// protocols of callers and backend servers.
+type Adapter struct {
+	Source *Source
+}
+
+var _ lavenderridge.Adapter = Adapter{}
+
+// Facts implements lavenderridge.Adapter.
+func (a Adapter) Facts(context.Context, lavenderridge.FactSettings) (lavenderridge.FactSource, error) {
+	return a.Source, nil
+}
+
+// Callers implements lavenderridge.Adapter.
+func (Adapter) Callers() lavenderridge.CallerProtocol { return callerhttp.Protocol{} }
+
+// Backends implements lavenderridge.Adapter.
+func (Adapter) Backends() lavenderridge.BackendProtocol { return backendhttp.Protocol{} }
--- a/internal/transport/peerquic/activationwire.go
+++ b/internal/transport/peerquic/activationwire.go
@@ -87,16 +87,14 @@
 // reply returns the reply that came at t.
 func (w *wireActivationReply) reply(t time.Time) (*lavenderridge.ActivationReply, error) {
 	d, e := digest(w.Membership)
-	if len(w.Records) != len(w.Remaining) {
-		e = errors.Join(e, fmt.Errorf("peerquic: %d records with %d times", len(w.Records), len(w.Remaining)))
-	}
-	if e != nil {
+	r, x := withExpiry(w.Records, w.Remaining, t)
+	if e := errors.Join(e, x); e != nil {
 		return nil, e
 	}
 	return &lavenderridge.ActivationReply{
 		Sender: w.Sender.sender(), Versions: w.Versions.stamps().Versions(), Membership: d,
 		Incarnation: w.Incarnation, Acknowledged: w.Acknowledged, Settled: w.Settled, Stable: w.Stable,
-		Records: withExpiry(w.Records, w.Remaining, t), Whole: w.Whole,
+		Records: r, Whole: w.Whole,
 	}, nil
 }
 
--- a/internal/transport/peerquic/ledgerwire.go
+++ b/internal/transport/peerquic/ledgerwire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -19,9 +20,11 @@
 	return w
 }
 
-func (w *wireHandOver) handOver(t time.Time) *lavenderridge.HandOver {
-	w.HandOver.Records = withExpiry(w.HandOver.Records, w.Remaining, t)
-	return &w.HandOver
+// handOver returns the hand-over that came at t.
+func (w *wireHandOver) handOver(t time.Time) (*lavenderridge.HandOver, error) {
+	r, e := withExpiry(w.HandOver.Records, w.Remaining, t)
+	w.HandOver.Records = r
+	return &w.HandOver, e
 }
 
 func withoutExpiry(l []lavenderridge.LedgerRecord, t time.Time) ([]lavenderridge.LedgerRecord, []time.Duration) {
@@ -35,13 +38,16 @@
 	return r, d
 }
 
-// withExpiry drops records that come without a time left.
-func withExpiry(l []lavenderridge.LedgerRecord, d []time.Duration, t time.Time) []lavenderridge.LedgerRecord {
-	l = l[:min(len(l), len(d))]
+// withExpiry returns the records with their times, or an error when a record
+// comes without a time left.
+func withExpiry(l []lavenderridge.LedgerRecord, d []time.Duration, t time.Time) ([]lavenderridge.LedgerRecord, error) {
+	if len(l) != len(d) {
+		return nil, fmt.Errorf("peerquic: %d records with %d times", len(l), len(d))
+	}
 	for i := range l {
 		l[i].Expires = t.Add(d[i])
 	}
-	return l
+	return l, nil
 }
 
 func (s *Server) activate(c context.Context, q *lavenderridge.ActivationRequest) (*wireActivationReply, error) {
@@ -53,7 +59,11 @@
 }
 
 func (s *Server) handOver(c context.Context, w *wireHandOver) (*lavenderridge.HandOverReply, error) {
-	return s.peer.HandOver(c, w.handOver(time.Now()))
+	q, e := w.handOver(time.Now())
+	if e != nil {
+		return nil, notRun(e.Error())
+	}
+	return s.peer.HandOver(c, q)
 }
 
 func (l *link) activate(c context.Context, q *lavenderridge.ActivationRequest) (*lavenderridge.ActivationReply, error) {
--- a/internal/transport/peerquic/ledgerwire_test.go
+++ b/internal/transport/peerquic/ledgerwire_test.go
@@ -24,14 +24,18 @@
 	if e := decode(x[1:], &w); e != nil {
 		t.Fatal(e)
 	}
-	r := w.handOver(b).Records[0]
+	v, e := w.handOver(b)
+	if e != nil {
+		t.Fatal(e)
+	}
+	r := v.Records[0]
 	if d := r.Expires.Sub(b); d != 1500*time.Millisecond {
 		t.Errorf("time left %s; want 1.5s", d)
 	}
 	if r.Fingerprint != 1<<63 || string(r.Response.Body) != "paid" || r.Response.Header.Get("A") != "b" {
 		t.Errorf("record %+v", r)
 	}
-	if n := len(withExpiry(q.Records, nil, b)); n != 0 {
-		t.Errorf("%d records without a time left; want none", n)
+	if l, e := withExpiry(q.Records, nil, b); e == nil || l != nil {
+		t.Errorf("records without a time left: %v, %v; want an error", l, e)
 	}
 }
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerquic/link.go
@@ -88,7 +88,7 @@
 	if e := send(s, b); e != nil {
 		return l.refusal(lavenderridge.OutcomeNotRun, ended(c, lavenderridge.ReasonUnreachable), e)
 	}
-	p, e := receive(s, l.transport.maxMessage)
+	p, e := receive(s, l.transport.maxMessage, l.hear)
 	if e != nil {
 		return l.lost(c, e)
 	}
--- a/internal/transport/peerquic/probe.go
+++ b/internal/transport/peerquic/probe.go
@@ -95,7 +95,7 @@
 	if e := send(s, []byte{byte(kindPing)}); e != nil {
 		return e
 	}
-	_, e = receive(s, 1)
+	_, e = receive(s, 1, func() {})
 	return e
 }
 
--- a/internal/transport/peerquic/server.go
+++ b/internal/transport/peerquic/server.go
@@ -100,7 +100,7 @@
 }
 
 func (s *Server) serveStream(t *quic.Stream, i peertls.Identity) {
-	b, e := receive(t, s.transport.maxMessage)
+	b, e := receive(t, s.transport.maxMessage, func() {})
 	if e != nil {
 		cancel(t)
 		return
--- a/internal/transport/peerquic/stream.go
+++ b/internal/transport/peerquic/stream.go
@@ -19,10 +19,25 @@
 	return s.Close()
 }
 
-// receive reads a whole message of at most n bytes. A stream that breaks off
-// gives an error and never a part.
-func receive(s *quic.Stream, n lavenderridge.ByteCount) ([]byte, error) {
-	b, e := io.ReadAll(io.LimitReader(s, int64(n)+1))
+// hearingReader calls heard for each part that it reads, so that a long message
+// on a slow link is not taken for silence.
+type hearingReader struct {
+	next  io.Reader
+	heard func()
+}
+
+func (r hearingReader) Read(b []byte) (int, error) {
+	n, e := r.next.Read(b)
+	if n > 0 {
+		r.heard()
+	}
+	return n, e
+}
+
+// receive reads a whole message of at most n bytes and calls f for each part of
+// it. A stream that breaks off gives an error and never a part.
+func receive(s *quic.Stream, n lavenderridge.ByteCount, f func()) ([]byte, error) {
+	b, e := io.ReadAll(io.LimitReader(hearingReader{next: s, heard: f}, int64(n)+1))
 	if e != nil {
 		return nil, e
 	}
--- a/internal/transport/peerquic/truncated_test.go
+++ b/internal/transport/peerquic/truncated_test.go
@@ -52,7 +52,7 @@
 	if e != nil {
 		return
 	}
-	_, _ = receive(s, defaultMaxMessage)
+	_, _ = receive(s, defaultMaxMessage, func() {})
 	b, _ := encode(byte(statusReply), newWireResponse(&lavenderridge.Response{ID: "r", Attempt: 1, Status: 200, Body: make([]byte, 100)}))
 	_, _ = s.Write(b[:len(b)/2])
 	end(s)
