--- a/internal/standin/factsource/source.go
+++ b/internal/standin/factsource/source.go
@@ -132,14 +132,14 @@
 	t := time.NewTimer(w)
 	defer t.Stop()
 	for {
-		p, e, f := s.after(r)
+		p, f, e := s.after(r)
 		if e != nil || len(p.Facts) > 0 {
 			return p, e
 		}
 		select {
 		case <-f:
 		case <-t.C:
-			p, e, _ = s.after(r)
+			p, _, e = s.after(r)
 			return p, e
 		case <-c.Done():
 			return nil, c.Err()
@@ -149,25 +149,25 @@
 
 // after returns the changes after r, and a channel that is closed at the next
 // one.
-func (s *Source) after(r lavenderridge.Revision) (*lavenderridge.FactPage, error, <-chan struct{}) {
+func (s *Source) after(r lavenderridge.Revision) (*lavenderridge.FactPage, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	p := &lavenderridge.FactPage{AsOf: s.revision}
 	switch {
 	case s.down:
-		return nil, ErrDown, nil
+		return nil, nil, ErrDown
 	case s.silent:
 		p.AsOf = r
-		return p, nil, s.changed
+		return p, s.changed, nil
 	case r < s.dropped:
-		return nil, lavenderridge.ErrHistoryLost, nil
+		return nil, nil, lavenderridge.ErrHistoryLost
 	}
 	for _, f := range s.history {
 		if f.Revision > r {
 			p.Facts = append(p.Facts, f)
 		}
 	}
-	return p, nil, s.changed
+	return p, s.changed, nil
 }
 
 // Close implements lavenderridge.FactSource.
