--- a/internal/daemon/assembly/entrypart.go
+++ b/internal/daemon/assembly/entrypart.go
@@ -33,6 +33,12 @@
 	o := []callerhttp.Option{
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
+		callerhttp.WithLimits(func() lavenderridge.CallerLimits {
+			if s := d.configuration.store.Snapshot(); s != nil {
+				return s.Catalogue.Callers
+			}
+			return lavenderridge.CallerLimits{}
+		}),
 	}
 	if d.adapter != nil {
 		o = append(o, callerhttp.WithProtocol(d.adapter.Callers()))
--- a/internal/transport/callerhttp/option.go
+++ b/internal/transport/callerhttp/option.go
@@ -25,3 +25,9 @@
 func WithStopDelay(d time.Duration) Option {
 	return func(s *Server) { s.stopDelay = d }
 }
+
+// WithLimits makes the server keep the limits that f returns, where they are
+// below its own.
+func WithLimits(f func() lavenderridge.CallerLimits) Option {
+	return func(s *Server) { s.limits = f }
+}
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -34,6 +34,7 @@
 	bodyTimeout time.Duration
 	protocol    lavenderridge.CallerProtocol
 	caller      func() lavenderridge.ServiceID
+	limits      func() lavenderridge.CallerLimits
 	stopDelay   time.Duration
 	stopping    atomic.Bool
 }
@@ -44,6 +45,7 @@
 	s := &Server{
 		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout,
 		protocol: Protocol{}, caller: func() lavenderridge.ServiceID { return "" },
+		limits: func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{} },
 	}
 	for _, f := range o {
 		f(s)
@@ -88,13 +90,22 @@
 	if e := c.SetReadDeadline(time.Now().Add(s.bodyTimeout)); e != nil {
 		return nil, e
 	}
-	b, e := io.ReadAll(http.MaxBytesReader(w, q.Body, int64(s.maxBody)))
+	b, e := io.ReadAll(http.MaxBytesReader(w, q.Body, int64(s.bodyLimit())))
 	if e != nil {
 		return nil, e
 	}
 	return b, c.SetReadDeadline(time.Time{})
 }
 
+// bodyLimit returns the lower one of the daemon's own bound and that of the
+// catalogue in force.
+func (s *Server) bodyLimit() lavenderridge.ByteCount {
+	if n := s.limits().Body; n > 0 {
+		return min(n, s.maxBody)
+	}
+	return s.maxBody
+}
+
 // bodyRefusal tells a body that is too large from one that broke off.
 func bodyRefusal(e error) *lavenderridge.Refusal {
 	var m *http.MaxBytesError
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +51,54 @@
 		t.Error(e)
 	}
 }
+
+type answeringHandler struct{}
+
+func (answeringHandler) Handle(_ context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
+	return &lavenderridge.Response{ID: r.ID, Status: http.StatusOK, Body: []byte(r.Caller)}, nil
+}
+
+// TestStopDelay checks that callers are still answered for a while after a stop
+// has begun, and are told to use another connection; and that the catalogue's
+// limit of bodies holds.
+func TestStopDelay(t *testing.T) {
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	s := NewServer(l, answeringHandler{}, lavenderridge.Mebibyte,
+		WithStopDelay(300*time.Millisecond),
+		WithCaller(func() lavenderridge.ServiceID { return "roster" }),
+		WithLimits(func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{Body: 4} }),
+	)
+	c, f := context.WithCancel(t.Context())
+	d := make(chan error, 1)
+	go func() { d <- s.Run(c, time.Second) }()
+	post := func(b string) (status int, last bool) {
+		t.Helper()
+		q, e := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/a", strings.NewReader(b))
+		if e != nil {
+			t.Fatal(e)
+		}
+		p, e := http.DefaultClient.Do(q)
+		if e != nil {
+			t.Fatal(e)
+		}
+		_ = p.Body.Close()
+		return p.StatusCode, p.Close
+	}
+	if n, o := post("four"); n != http.StatusOK || o {
+		t.Errorf("status %d, last %t", n, o)
+	}
+	if n, _ := post("fives"); n != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d for a body above the limit", n)
+	}
+	f()
+	time.Sleep(100 * time.Millisecond)
+	if n, o := post("four"); n != http.StatusOK || !o {
+		t.Errorf("while stopping: status %d, last %t", n, o)
+	}
+	if e := <-d; e != nil {
+		t.Error(e)
+	}
+}
