--- a/internal/cmd/lavenderridge/measureconvergencecmd.go
+++ b/internal/cmd/lavenderridge/measureconvergencecmd.go
@@ -14,30 +14,24 @@
 
 // measureConvergenceCmd measures how fast a fleet takes on a change.
 type measureConvergenceCmd struct {
-	clause *kingpin.CmdClause
-	out    io.Writer
-	plan   convergence.Plan
-	json   bool
+	measurement
+	plan convergence.Plan
 }
 
 var _ command = (*measureConvergenceCmd)(nil)
 
 func newMeasureConvergenceCmd(a *kingpin.CmdClause, w io.Writer) command {
-	m := &measureConvergenceCmd{out: w, clause: a.Command("convergence", "Measure convergence, control bytes and source calls of fleets on loopback.")}
+	m := &measureConvergenceCmd{measurement: newMeasurement(a, "convergence", "Measure convergence, control bytes and source calls of fleets on loopback.", w)}
 	m.clause.Flag("size", "Number of daemons; may be given several times.").Default("8", "16", "32", "64", "128").IntsVar(&m.plan.Sizes)
 	m.clause.Flag("listed", "Number of instances in the list, with or without a daemon.").Default("3500").IntVar(&m.plan.Listed)
 	m.clause.Flag("services", "Number of services in the catalogue.").Default("110").IntVar(&m.plan.Services)
 	m.clause.Flag("changes", "Number of changes of each document.").Default("10").IntVar(&m.plan.Changes)
 	m.clause.Flag("rest", "Time to observe the fleet at rest.").Default("15s").DurationVar(&m.plan.Rest)
 	m.clause.Flag("baseline", "Measure each size with every daemon watching the source as well.").Default("true").BoolVar(&m.plan.Baseline)
-	m.clause.Flag("json", "Print JSON.").BoolVar(&m.json)
+	m.addJSON()
 	return m
 }
 
-func (m *measureConvergenceCmd) name() string {
-	return m.clause.FullCommand()
-}
-
 func (m *measureConvergenceCmd) run(c context.Context) error {
 	if m.json {
 		j := json.NewEncoder(m.out)
--- a/internal/cmd/lavenderridge/measuredatacentrecmd.go
+++ b/internal/cmd/lavenderridge/measuredatacentrecmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,18 +12,16 @@
 
 // measureDataCentreCmd measures a data centre's leaving and returning.
 type measureDataCentreCmd struct {
-	clause *kingpin.CmdClause
-	out    io.Writer
-	plan   datacentre.Plan
-	rate   float64
-	cold   int
-	json   bool
+	measurement
+	plan datacentre.Plan
+	rate float64
+	cold int
 }
 
 var _ command = (*measureDataCentreCmd)(nil)
 
 func newMeasureDataCentreCmd(a *kingpin.CmdClause, w io.Writer) command {
-	m := &measureDataCentreCmd{out: w, clause: a.Command("datacentre", "Measure success and latency while one of three data centres leaves and returns with cold backend servers, with the router and with plain round robin.")}
+	m := &measureDataCentreCmd{measurement: newMeasurement(a, "datacentre", "Measure success and latency while one of three data centres leaves and returns with cold backend servers, with the router and with plain round robin.", w)}
 	f := m.clause
 	f.Flag("rate", "Requests in a second.").Default("400").Float64Var(&m.rate)
 	f.Flag("replicas", "Instances in each data centre.").Default("2").IntVar(&m.plan.Replicas)
@@ -32,14 +29,10 @@
 	f.Flag("step", "Time before the leaving, between it and the return, and after.").Default("8s").DurationVar(&m.plan.Step)
 	f.Flag("cold-time", "Time for which a backend server is cold after its start.").Default("4s").DurationVar(&m.plan.ColdTime)
 	f.Flag("cold-slots", "Requests that a cold backend server bears at once.").Default("2").IntVar(&m.cold)
-	f.Flag("json", "Print JSON.").BoolVar(&m.json)
+	m.addJSON()
 	return m
 }
 
-func (m *measureDataCentreCmd) name() string {
-	return m.clause.FullCommand()
-}
-
 func (m *measureDataCentreCmd) run(c context.Context) error {
 	m.plan.Rate, m.plan.ColdSlots = lavenderridge.Rate(m.rate), lavenderridge.Slots(m.cold)
 	for _, o := range []bool{false, true} {
@@ -47,12 +40,7 @@
 		if e != nil {
 			return e
 		}
-		if m.json {
-			e = json.NewEncoder(m.out).Encode(r)
-		} else {
-			e = r.WriteTable(m.out)
-		}
-		if e != nil {
+		if e := m.emit(r, r.WriteTable); e != nil {
 			return e
 		}
 	}
--- a/internal/cmd/lavenderridge/measuregoodputcmd.go
+++ b/internal/cmd/lavenderridge/measuregoodputcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"time"
@@ -14,23 +13,17 @@
 
 // measureGoodputCmd measures goodput under overload.
 type measureGoodputCmd struct {
-	clause *kingpin.CmdClause
-	out    io.Writer
-	json   bool
+	measurement
 }
 
 var _ command = (*measureGoodputCmd)(nil)
 
 func newMeasureGoodputCmd(a *kingpin.CmdClause, w io.Writer) command {
-	s := &measureGoodputCmd{clause: a.Command("goodput", "Goodput of a backend server at 0.5 to 4 times its capacity, with adaptive admission and with a plain slot gate (about 3 minutes)."), out: w}
-	s.clause.Flag("json", "Print JSON.").BoolVar(&s.json)
+	s := &measureGoodputCmd{measurement: newMeasurement(a, "goodput", "Goodput of a backend server at 0.5 to 4 times its capacity, with adaptive admission and with a plain slot gate (about 3 minutes).", w)}
+	s.addJSON()
 	return s
 }
 
-func (s *measureGoodputCmd) name() string {
-	return s.clause.FullCommand()
-}
-
 func (s *measureGoodputCmd) run(c context.Context) error {
 	var a []backendserver.Goodput
 	for _, k := range []bool{false, true} {
@@ -44,12 +37,14 @@
 			}
 		}
 	}
-	if s.json {
-		return json.NewEncoder(s.out).Encode(a)
-	}
-	_, _ = fmt.Fprintf(s.out, "%-14s %-10s %8s %10s %10s %10s %10s\n", "backend server", "admission", "load", "offered/s", "good/s", "critical", "p99")
+	return s.emit(a, func(w io.Writer) error { return writeGoodput(w, a) })
+}
+
+// writeGoodput writes the table of the results a to w.
+func writeGoodput(w io.Writer, a []backendserver.Goodput) error {
+	_, _ = fmt.Fprintf(w, "%-14s %-10s %8s %10s %10s %10s %10s\n", "backend server", "admission", "load", "offered/s", "good/s", "critical", "p99")
 	for _, g := range a {
-		_, _ = fmt.Fprintf(s.out, "%-14s %-10s %7.1fx %10.0f %10.0f %9.1f%% %10s\n",
+		_, _ = fmt.Fprintf(w, "%-14s %-10s %7.1fx %10.0f %10.0f %9.1f%% %10s\n",
 			bears(g.Weak), g.Mode, g.Factor, g.Offered, g.Good, 100*g.Critical, g.P99.Round(100*time.Microsecond))
 	}
 	return nil
--- a/internal/cmd/lavenderridge/measurelatencycmd.go
+++ b/internal/cmd/lavenderridge/measurelatencycmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,18 +12,16 @@
 
 // measureLatencyCmd measures what daemons add to a call.
 type measureLatencyCmd struct {
-	clause *kingpin.CmdClause
-	out    io.Writer
-	plan   latency.Plan
-	rate   float64
-	body   int64
-	json   bool
+	measurement
+	plan latency.Plan
+	rate float64
+	body int64
 }
 
 var _ command = (*measureLatencyCmd)(nil)
 
 func newMeasureLatencyCmd(a *kingpin.CmdClause, w io.Writer) command {
-	m := &measureLatencyCmd{out: w, clause: a.Command("latency", "Measure the latency, processor time and allocations that daemons add to a call.")}
+	m := &measureLatencyCmd{measurement: newMeasurement(a, "latency", "Measure the latency, processor time and allocations that daemons add to a call.", w)}
 	f := m.clause
 	f.Flag("rate", "Calls in a second.").Default("500").Float64Var(&m.rate)
 	f.Flag("callers", "Callers, each with one connection.").Default("16").IntVar(&m.plan.Callers)
@@ -32,22 +29,15 @@
 	f.Flag("rounds", "Rounds through all ways.").Default("3").IntVar(&m.plan.Rounds)
 	f.Flag("service-time", "Time that a backend server takes.").Default("2ms").DurationVar(&m.plan.ServiceTime)
 	f.Flag("body", "Size of a request's body in bytes.").Default("256").Int64Var(&m.body)
-	f.Flag("json", "Print JSON.").BoolVar(&m.json)
+	m.addJSON()
 	return m
 }
 
-func (m *measureLatencyCmd) name() string {
-	return m.clause.FullCommand()
-}
-
 func (m *measureLatencyCmd) run(c context.Context) error {
 	m.plan.Rate, m.plan.Body = lavenderridge.Rate(m.rate), lavenderridge.ByteCount(m.body)
 	r, e := latency.Run(c, m.plan)
 	if e != nil {
 		return e
 	}
-	if m.json {
-		return json.NewEncoder(m.out).Encode(r)
-	}
-	return r.WriteTable(m.out)
+	return m.emit(r, r.WriteTable)
 }
--- a/internal/cmd/lavenderridge/measurerestartcmd.go
+++ b/internal/cmd/lavenderridge/measurerestartcmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -13,23 +12,17 @@
 
 // measureRestartCmd measures recovery after a restart of all backend servers.
 type measureRestartCmd struct {
-	clause *kingpin.CmdClause
-	out    io.Writer
-	json   bool
+	measurement
 }
 
 var _ command = (*measureRestartCmd)(nil)
 
 func newMeasureRestartCmd(a *kingpin.CmdClause, w io.Writer) command {
-	s := &measureRestartCmd{clause: a.Command("restart", "Recovery after a restart of all backend servers with cold starts, with the ramp and without (about 75 seconds)."), out: w}
-	s.clause.Flag("json", "Print JSON.").BoolVar(&s.json)
+	s := &measureRestartCmd{measurement: newMeasurement(a, "restart", "Recovery after a restart of all backend servers with cold starts, with the ramp and without (about 75 seconds).", w)}
+	s.addJSON()
 	return s
 }
 
-func (s *measureRestartCmd) name() string {
-	return s.clause.FullCommand()
-}
-
 func (s *measureRestartCmd) run(c context.Context) error {
 	var a []backendserver.Recovery
 	for _, m := range []backendserver.Mode{backendserver.ModeAdaptive, backendserver.ModePlain} {
@@ -39,13 +32,12 @@
 		}
 		a = append(a, r)
 	}
-	if s.json {
-		return json.NewEncoder(s.out).Encode(a)
-	}
-	for _, r := range a {
-		s.print(r)
-	}
-	return nil
+	return s.emit(a, func(io.Writer) error {
+		for _, r := range a {
+			s.print(r)
+		}
+		return nil
+	})
 }
 
 func (s *measureRestartCmd) print(r backendserver.Recovery) {
