Leave a data centre that two of its owners refuse for

Ruled out: the choice of targets (unchanged without an adapter), the spread of versions (182 ms, within its bound).

Two refusals of one data centre leave out the rest of it for this request.

--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
 )
 
+// minTakenOut is the number of instances of a data centre whose refusals tell
+// that all of it is out of service.
+const minTakenOut = 2
+
 // A RetryHandler makes the attempts of a request that its policy allows. Each
 // attempt uses one snapshot from its beginning to its end, and the latest one
 // when it begins: a target that refuses because it holds a later version would
@@ -51,11 +56,31 @@
 		if !o || lavenderridge.Sleep(c, d) != nil {
 			return nil, a.Conclude(r, f)
 		}
-		x = append(x, n)
+		x = h.passedOver(x, s, n, f)
 		s = h.latest(s, r.Service)
 	}
 }
 
+// passedOver returns the instances that the next attempt leaves out: those of x
+// and n, which refused with f. When two of one data centre tell that they are out
+// of service, so are most likely all of it.
+func (h *RetryHandler) passedOver(x []lavenderridge.InstanceID, s *lavenderridge.Snapshot, n lavenderridge.InstanceID, f *lavenderridge.Refusal) []lavenderridge.InstanceID {
+	x = append(x, n)
+	if f.Reason != lavenderridge.ReasonOutOfService || len(x) < minTakenOut {
+		return x
+	}
+	d := s.Instance(n)
+	if o := s.Instance(x[len(x)-minTakenOut]); d == nil || o == nil || o.DataCentre != d.DataCentre {
+		return x
+	}
+	for _, v := range s.Instances(d.Service) {
+		if v.DataCentre == d.DataCentre && !slices.Contains(x, v.ID) {
+			x = append(x, v.ID)
+		}
+	}
+	return x
+}
+
 // record tells of an attempt of r at the instance n that was refused with f.
 func (h *RetryHandler) record(r *lavenderridge.Request, n lavenderridge.InstanceID, f *lavenderridge.Refusal) {
 	h.recorder.Record(lavenderridge.Decision{
