--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -122,9 +122,18 @@
 }
 
 // homeChanges reports whether the home of the request's key is about to take
-// up its work. It ran nothing, and the same key may be asked for again.
+// up its work, or another instance is: the home leaves or is out of service, and
+// this daemon has not learnt of it yet. It ran nothing, and the same key may be
+// asked for again.
 func homeChanges(r *lavenderridge.Request, f *lavenderridge.Refusal) bool {
-	return Keyed(r) && (f.Reason == lavenderridge.ReasonNotActive || f.Reason == lavenderridge.ReasonNotHome)
+	if !Keyed(r) {
+		return false
+	}
+	switch f.Reason {
+	case lavenderridge.ReasonNotActive, lavenderridge.ReasonNotHome, lavenderridge.ReasonOutOfService, lavenderridge.ReasonLeaving:
+		return true
+	}
+	return false
 }
 
 // wait returns a random time up to a bound that doubles with each attempt. The
