Leave a data centre after one owner says that it is out of service

Cause, traced at last (TestTry beside five busy processes): the entries of the trial allow two attempts, and each service has two instances in the data centre, so a request of a daemon that learnt of the change late spent both there.

Ruled out: keyed requests (the refused ones had no key), the budget of retries, the spread of versions.

--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -9,10 +9,6 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
 )
 
-// minTakenOut is the number of instances of a data centre whose refusals tell
-// that all of it is out of service.
-const minTakenOut = 2
-
 // A RetryHandler makes the attempts of a request that its policy allows. Each
 // attempt uses one snapshot from its beginning to its end, and the latest one
 // when it begins: a target that refuses because it holds a later version would
@@ -62,15 +58,15 @@
 }
 
 // passedOver returns the instances that the next attempt leaves out: those of x
-// and n, which refused with f. When two of one data centre tell that they are out
-// of service, so are most likely all of it.
+// and n, which refused with f. When n is out of service, so is most likely all of
+// its data centre: an entry may allow fewer attempts than that has instances.
 func (h *RetryHandler) passedOver(x []lavenderridge.InstanceID, s *lavenderridge.Snapshot, n lavenderridge.InstanceID, f *lavenderridge.Refusal) []lavenderridge.InstanceID {
 	x = append(x, n)
-	if f.Reason != lavenderridge.ReasonOutOfService || len(x) < minTakenOut {
+	if f.Reason != lavenderridge.ReasonOutOfService {
 		return x
 	}
 	d := s.Instance(n)
-	if o := s.Instance(x[len(x)-minTakenOut]); d == nil || o == nil || o.DataCentre != d.DataCentre {
+	if d == nil {
 		return x
 	}
 	for _, v := range s.Instances(d.Service) {
