--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -54,22 +54,27 @@
 
 // Read offers the catalogue p as the platform publishes it.
 func (a *Acceptor) Read(p *lavenderridge.PublishedCatalogue) {
-	o := configservice.Offer{Version: p.Version, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
-	if p.Version <= a.store.Acceptance(lavenderridge.DocumentCatalogue).Stamp.Version {
-		return
-	}
-	v, e := a.store.OfferCatalogue(o, p.Catalogue)
-	a.report(lavenderridge.DocumentCatalogue, o, v, e)
+	a.offer(lavenderridge.DocumentCatalogue, p.Version, func(o configservice.Offer) (configservice.Verdict, error) {
+		return a.store.OfferCatalogue(o, p.Catalogue)
+	})
 }
 
 // Listed offers the instance list l of the version n.
 func (a *Acceptor) Listed(l *lavenderridge.InstanceList, n lavenderridge.Version) {
-	o := configservice.Offer{Version: n, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
-	if n <= a.store.Acceptance(lavenderridge.DocumentInstanceList).Stamp.Version {
+	a.offer(lavenderridge.DocumentInstanceList, n, func(o configservice.Offer) (configservice.Verdict, error) {
+		return a.store.OfferInstanceList(o, l)
+	})
+}
+
+// offer makes the offer f of the version n of the document d, unless that is in
+// force already.
+func (a *Acceptor) offer(d lavenderridge.DocumentName, n lavenderridge.Version, f func(o configservice.Offer) (configservice.Verdict, error)) {
+	if n <= a.store.Acceptance(d).Stamp.Version {
 		return
 	}
-	v, e := a.store.OfferInstanceList(o, l)
-	a.report(lavenderridge.DocumentInstanceList, o, v, e)
+	o := configservice.Offer{Version: n, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
+	v, e := f(o)
+	a.report(d, o, v, e)
 }
 
 // Pulled offers the document d as the peer of the origin g sent it.
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -186,9 +186,7 @@
 	case errors.Is(e, errTooManyConnections):
 		r = lavenderridge.ReasonLimit
 	}
-	f := lavenderridge.NewRefusal(o, r, e.Error())
-	f.Offered = o == lavenderridge.OutcomeUnknown
-	return f
+	return lavenderridge.NewRefusal(o, r, e.Error())
 }
 
 // checkSilence replaces the pool o when a request in it has no answer while a
--- a/refusal.go
+++ b/refusal.go
@@ -13,7 +13,8 @@
 	Reason  Reason
 	// RetryAfter is the time to wait before a resend; zero gives no advice.
 	RetryAfter time.Duration
-	// Offered tells that the request reached a backend server.
+	// Offered tells that the request reached a backend server that did not run
+	// it. One with an unknown outcome may have reached one in any case.
 	Offered bool
 	// Place is the instance whose daemon refused.
 	Place InstanceID
