Carry the protocol between daemons over HTTP/2 in place of QUIC

A connection counts as silent when no byte comes over it, a ping goes unanswered and a new connection opens before anything comes. A call is NotRun when the HTTP library had not taken the last byte of its message. The link stand-in lets a connection that begins in a cut come through when the cut ends, as TCP does.

Ruled out: tuning the silence alone, since drops and the resent bytes remain.

--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -13,7 +13,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
-	"github.com/lavenderridge/lavenderridge/internal/transport/peerquic"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peerhttp"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -31,8 +31,8 @@
 	service atomic.Pointer[lavenderridge.ServiceID]
 	adapter lavenderridge.Adapter
 
-	transport     *peerquic.Transport
-	server        *peerquic.Server
+	transport     *peerhttp.Transport
+	server        *peerhttp.Server
 	configuration *configPart
 	owner         *ownerPart
 	home          *homePart
@@ -62,7 +62,7 @@
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
 	d.records = newOperatorRecords(d, k)
-	if d.transport, e = peerquic.NewTransport(d.config.Peer, k, peerquic.WithMetrics(d.metrics)); e != nil {
+	if d.transport, e = peerhttp.NewTransport(d.config.Peer, k, peerhttp.WithMetrics(d.metrics)); e != nil {
 		return e
 	}
 	d.closeLater(d.transport.Close)
@@ -73,7 +73,7 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerquic.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.sender, d.configuration.spreader.Heard))
+	d.server = peerhttp.NewServer(d.transport, peer.NewHearingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.keeper), d.sender, d.configuration.spreader.Heard))
 	if d.entry, e = newEntryPart(d); e != nil {
 		return e
 	}
--- a/internal/daemon/assembly/entry_test.go
+++ b/internal/daemon/assembly/entry_test.go
@@ -109,9 +109,9 @@
 	}))
 	c, f := context.WithCancel(context.Background())
 	defer f()
-	var a []*link.UDP
+	var a []*link.TCP
 	for _, n := range m.Members {
-		l, e := link.NewUDP(c, n.Instance.Peer)
+		l, e := link.NewTCP(c, n.Instance.Peer)
 		if e != nil {
 			t.Fatal(e)
 		}
--- a/internal/daemon/assembly/keys_test.go
+++ b/internal/daemon/assembly/keys_test.go
@@ -10,7 +10,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/standin/mesh"
-	"github.com/lavenderridge/lavenderridge/internal/transport/peerquic"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peerhttp"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -44,7 +44,7 @@
 	if e != nil {
 		t.Fatal(e)
 	}
-	p, e := peerquic.NewTransport("127.0.0.1:0", peertls.NewKeys(k, b.Pool()))
+	p, e := peerhttp.NewTransport("127.0.0.1:0", peertls.NewKeys(k, b.Pool()))
 	if e != nil {
 		t.Fatal(e)
 	}
--- a/internal/daemon/assembly/traffic.go
+++ b/internal/daemon/assembly/traffic.go
@@ -3,11 +3,11 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/lavenderridge/lavenderridge/internal/transport/peerquic"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peerhttp"
 )
 
 // PeerTraffic returns what the daemon's connections to other daemons carried.
-func (d *Daemon) PeerTraffic() *peerquic.Traffic {
+func (d *Daemon) PeerTraffic() *peerhttp.Traffic {
 	return d.transport.Traffic()
 }
 
--- a/internal/measure/convergence/run.go
+++ b/internal/measure/convergence/run.go
@@ -109,7 +109,7 @@
 	r.Catalogue, r.List = worst(a), worst(b)
 	x := f.usage()
 	n := float64(2 * f.plan.Changes * len(f.daemons))
-	r.ChangeBytes = 2 * (x.datagrams - u.datagrams) / n
+	r.ChangeBytes = 2 * (x.sent - u.sent) / n
 	r.PullBytes = (x.pulls - u.pulls) / n
 	r.Announcements, r.AntiEntropy = (x.announcements-u.announcements)/n, (x.antiEntropy-u.antiEntropy)/n
 	r.Deltas, r.Wholes = (x.deltas-u.deltas)/n, (x.wholes-u.wholes)/n
@@ -137,7 +137,7 @@
 	x := f.usage()
 	n := float64(len(f.daemons))
 	d := x.time.Sub(u.time).Seconds()
-	r.RestBytes = 2 * (x.datagrams - u.datagrams) / n / d
+	r.RestBytes = 2 * (x.sent - u.sent) / n / d
 	r.ExchangeBytes = 2 * (x.exchanges - u.exchanges) / n / d
 	r.RestCalls = (x.calls - u.calls) / d
 	r.RestCPU = (x.processor - u.processor).Seconds() / n / d
@@ -159,7 +159,7 @@
 	n, q := f.source.Calls()
 	g()
 	r.StormPeak, r.StormCalls, r.Refused = <-k, float64(n-u), float64(q)
-	r.StormBytes = 2 * f.usage().datagrams / float64(len(f.daemons))
+	r.StormBytes = 2 * f.usage().sent / float64(len(f.daemons))
 	return nil
 }
 
--- a/internal/measure/convergence/usage.go
+++ b/internal/measure/convergence/usage.go
@@ -13,13 +13,13 @@
 	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
 )
 
-// headerBytes are those of an IPv4 and a UDP header.
-const headerBytes = 28
+// headerBytes are those of an IPv4 and a TCP header, without options.
+const headerBytes = 40
 
 // usage is what a fleet has used up to a moment.
 type usage struct {
 	time          time.Time
-	datagrams     float64
+	sent     float64
 	exchanges     float64
 	pulls         float64
 	calls         float64
@@ -35,8 +35,8 @@
 	u := usage{time: time.Now(), processor: processorTime()}
 	for _, d := range f.daemons {
 		c := d.PeerTraffic()
-		b, n := c.Datagrams()
-		u.datagrams += float64(b) + headerBytes*float64(n)
+		b, n := c.Sent()
+		u.sent += float64(b) + headerBytes*float64(n)
 		_, x := c.Exchanges()
 		u.exchanges += float64(x)
 		_, p := c.Pulls()
--- a/internal/standin/link/tcp.go
+++ b/internal/standin/link/tcp.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 )
 
-const tcpBuffer = 32 << 10
+const (
+	tcpBuffer = 32 << 10
+	// resendPeriod is the time between two first packets of a connection.
+	resendPeriod = 20 * time.Millisecond
+)
 
 // A TCP passes the bytes of connections to a target and back. A flow is one
 // connection; a silent one stays open at both ends.
@@ -56,9 +61,15 @@
 func (t *TCP) serve(n net.Conn) {
 	defer func() { _ = n.Close() }()
 	g := t.generation.Load()
+	// What begins during a cut hangs until its first packet gets through.
+	for t.cut.Load() {
+		if lavenderridge.Sleep(t.context, resendPeriod) != nil {
+			return
+		}
+	}
 	var d net.Dialer
 	m, e := d.DialContext(t.context, "tcp", string(t.target))
-	if e != nil || t.cut.Load() {
+	if e != nil {
 		return
 	}
 	defer func() { _ = m.Close() }()
--- a/internal/transport/peerquic/activationwire.go
+++ b/internal/transport/peerhttp/activationwire.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"errors"
@@ -101,7 +101,7 @@
 func digest(b []byte) (lavenderridge.Digest, error) {
 	var d lavenderridge.Digest
 	if len(b) != len(d) {
-		return d, fmt.Errorf("peerquic: digest of %d bytes", len(b))
+		return d, fmt.Errorf("peerhttp: digest of %d bytes", len(b))
 	}
 	return lavenderridge.Digest(b), nil
 }
--- a/internal/transport/peerquic/activity.go
+++ b/internal/transport/peerhttp/activity.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
@@ -7,15 +7,15 @@
 )
 
 const (
-	// linger is how long a connection stays open after its last reply when the
-	// server stops, so that the reply gets through.
+	// linger is how long no call may have come before a stopping server closes
+	// its connections.
 	linger = 200 * time.Millisecond
 	// maxLingers bounds the wait of a server to which calls keep coming that
 	// it refuses at once.
 	maxLingers = 5
 )
 
-// activity counts the calls that run on one connection.
+// activity counts the calls that a server runs.
 type activity struct {
 	running atomic.Int64
 	begun   atomic.Int64
--- a/internal/transport/peerquic/bench_test.go
+++ b/internal/transport/peerhttp/bench_test.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/quic-go/quic-go"
-
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
@@ -35,7 +33,7 @@
 	return p[0], p[1]
 }
 
-// BenchmarkCall measures one call over QUIC, both ends together.
+// BenchmarkCall measures one call over HTTP/2, both ends together.
 func BenchmarkCall(b *testing.B) {
 	c, s := benchmarkPair(b)
 	l := c.Dial(&lavenderridge.Instance{ID: "b", Peer: s.Address()})
@@ -56,13 +54,10 @@
 		var m, v runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&m)
-		a := make([]*quic.Conn, n)
+		a := make([]*connection, n)
 		for i := range a {
 			var e error
-			if a[i], e = c.dial("b", s.Address(), dialTimeout, false); e != nil {
-				b.Fatal(e)
-			}
-			if e := ping(context.Background(), a[i]); e != nil {
+			if a[i], e = c.dial(newLink(c, "b", s.Address()), dialTimeout); e != nil {
 				b.Fatal(e)
 			}
 		}
--- a/internal/transport/peerquic/compact.go
+++ b/internal/transport/peerhttp/compact.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"errors"
@@ -153,7 +153,7 @@
 func (w *wireExchange) exchange() (lavenderridge.Exchange, error) {
 	s, e := w.Sender.sender()
 	if w.SourceAge > uint64(maxAge.Milliseconds()) {
-		return lavenderridge.Exchange{}, fmt.Errorf("peerquic: source age of %d ms", w.SourceAge)
+		return lavenderridge.Exchange{}, fmt.Errorf("peerhttp: source age of %d ms", w.SourceAge)
 	}
 	return lavenderridge.Exchange{
 		Sender: s, Address: w.Address, Leaving: w.Leaving, Suspects: w.Suspects,
@@ -190,7 +190,7 @@
 	}
 	b, e := decompressor().DecodeAll(w.Compressed, nil)
 	if e != nil {
-		return p, fmt.Errorf("peerquic: decompress: %w", e)
+		return p, fmt.Errorf("peerhttp: decompress: %w", e)
 	}
 	p.Whole = b
 	return p, nil
--- a/internal/transport/peerquic/counters.go
+++ b/internal/transport/peerhttp/counters.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import "github.com/rcrowley/go-metrics"
 
@@ -9,6 +9,7 @@
 	tlsRefused   metrics.Counter
 	probes       metrics.Counter
 	replaced     metrics.Counter
+	serverErrors metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -18,5 +19,6 @@
 		tlsRefused:   metrics.GetOrRegisterCounter("PeerTLSRefused", r),
 		probes:       metrics.GetOrRegisterCounter("PeerProbes", r),
 		replaced:     metrics.GetOrRegisterCounter("PeerConnectionsReplaced", r),
+		serverErrors: metrics.GetOrRegisterCounter("PeerServerErrors", r),
 	}
 }
--- a/internal/transport/peerquic/dial.go
+++ b/internal/transport/peerhttp/dial.go
@@ -1,11 +1,9 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
 	"errors"
 	"time"
-
-	"github.com/quic-go/quic-go"
 )
 
 var errConnecting = errors.New("still connecting")
@@ -13,7 +11,7 @@
 // dial is an attempt to connect that several calls wait for.
 type dial struct {
 	done       chan struct{}
-	connection *quic.Conn
+	connection *connection
 	failure    error
 }
 
@@ -21,14 +19,14 @@
 	return &dial{done: make(chan struct{})}
 }
 
-func (d *dial) finish(n *quic.Conn, e error) {
+func (d *dial) finish(n *connection, e error) {
 	d.connection, d.failure = n, e
 	close(d.done)
 }
 
 // wait returns the connection, or an error when there is none by the end of c
 // or when the calls have waited enough.
-func (d *dial) wait(c context.Context) (*quic.Conn, error) {
+func (d *dial) wait(c context.Context) (*connection, error) {
 	t := time.NewTimer(connectPatience)
 	defer t.Stop()
 	select {
--- a/internal/transport/peerquic/kind.go
+++ b/internal/transport/peerhttp/kind.go
@@ -1,6 +1,6 @@
-package peerquic
+package peerhttp
 
-// kind tells which call a stream carries.
+// kind tells which call a message carries.
 type kind byte
 
 const (
@@ -9,8 +9,6 @@
 	kindPull
 	kindActivate
 	kindHandOver
-	// kindPing asks for an empty reply.
-	kindPing
 )
 
 // status tells what a reply carries.
@@ -20,11 +18,3 @@
 	statusReply status = iota + 1
 	statusRefusal
 )
-
-const (
-	protocol = "lavenderridge/1"
-
-	codeCancelled = 1
-	codeClosed    = 2
-	codeSilent    = 3
-)
--- a/internal/transport/peerquic/ledgerwire.go
+++ b/internal/transport/peerhttp/ledgerwire.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 // comes without a time left.
 func withExpiry(l []lavenderridge.LedgerRecord, d []time.Duration, t time.Time) ([]lavenderridge.LedgerRecord, error) {
 	if len(l) != len(d) {
-		return nil, fmt.Errorf("peerquic: %d records with %d times", len(l), len(d))
+		return nil, fmt.Errorf("peerhttp: %d records with %d times", len(l), len(d))
 	}
 	for i := range l {
 		l[i].Expires = t.Add(d[i])
--- a/internal/transport/peerquic/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -1,16 +1,19 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
-
 	"github.com/lavenderridge/lavenderridge"
 )
 
+// callURL names no host: each connection leads to one daemon.
+const callURL = "https://daemon/"
+
 // link is the client's side of the connection to one daemon. All times are
 // since the transport's start.
 type link struct {
@@ -18,21 +21,22 @@
 	instance  lavenderridge.InstanceID
 	address   lavenderridge.Address
 
-	connection atomic.Pointer[quic.Conn]
+	connection atomic.Pointer[connection]
 	dialling   atomic.Pointer[dial]
 	// failures counts the dials that failed without a success between them.
 	failures atomic.Int32
 	calls    atomic.Int64
-	// heard is when the last reply came, or when the first of the running
-	// calls began.
-	heard   atomic.Int64
+	// begun is when the first of the running calls began.
+	begun   atomic.Int64
 	probing atomic.Bool
 }
 
 var _ lavenderridge.Peer = (*link)(nil)
 
 func newLink(t *Transport, n lavenderridge.InstanceID, a lavenderridge.Address) *link {
-	return &link{transport: t, instance: n, address: a}
+	l := &link{transport: t, instance: n, address: a}
+	l.begun.Store(int64(t.now()))
+	return l
 }
 
 // Handle implements lavenderridge.Handler.
@@ -79,27 +83,60 @@
 	}
 	l.begin()
 	defer l.end()
-	s, e := l.open(c)
-	if e != nil {
+	p, o, e := l.exchange(c, b)
+	switch {
+	case e == nil:
+	case o:
+		return l.refusal(lavenderridge.OutcomeUnknown, ended(c, lavenderridge.ReasonConnectionLost), e)
+	default:
 		return l.refusal(lavenderridge.OutcomeNotRun, ended(c, lavenderridge.ReasonUnreachable), e)
 	}
-	f := context.AfterFunc(c, func() { cancel(s) })
-	defer f()
-	if e := send(s, b); e != nil {
-		return l.refusal(lavenderridge.OutcomeNotRun, ended(c, lavenderridge.ReasonUnreachable), e)
+	l.transport.traffic.call(k, len(b), len(p))
+	return l.reply(p, v)
+}
+
+// exchange sends the message b and returns the reply. With an error it tells
+// whether the peer may have read the message to its end.
+func (l *link) exchange(c context.Context, b []byte) ([]byte, bool, error) {
+	n, e := l.connect(c)
+	if e != nil {
+		return nil, false, e
+	}
+	p, o, e := l.post(c, n, b)
+	if e == nil || o || c.Err() != nil {
+		return p, o, e
+	}
+	// The connection ended before it took the message.
+	l.connection.CompareAndSwap(n, nil)
+	if n, e = l.connect(c); e != nil {
+		return nil, false, e
 	}
-	p, e := receive(s, l.transport.maxMessage, l.hear)
+	return l.post(c, n, b)
+}
+
+// post sends the message b over the connection n.
+func (l *link) post(c context.Context, n *connection, b []byte) ([]byte, bool, error) {
+	o := newOutgoing(b)
+	q, e := http.NewRequestWithContext(c, http.MethodPost, callURL, o)
 	if e != nil {
-		return l.lost(c, e)
+		return nil, false, e
 	}
-	l.hear()
-	l.transport.traffic.call(k, len(b), len(p))
-	return l.reply(p, v)
+	q.ContentLength = int64(len(b))
+	p, e := n.http.RoundTrip(q)
+	if e != nil {
+		return nil, o.taken.Load(), e
+	}
+	defer func() { _ = p.Body.Close() }()
+	if p.StatusCode != http.StatusOK {
+		return nil, true, fmt.Errorf("status %d", p.StatusCode)
+	}
+	v, e := receive(p.Body, l.transport.maxMessage)
+	return v, true, e
 }
 
 func (l *link) begin() {
 	if l.calls.Add(1) == 1 {
-		l.hear()
+		l.begun.Store(int64(l.transport.now()))
 	}
 }
 
@@ -107,34 +144,11 @@
 	l.calls.Add(-1)
 }
 
-func (l *link) hear() {
-	l.heard.Store(int64(l.transport.now()))
-}
-
-// open returns a stream on the current connection, or on a new one when there
-// is none that works or when it has just ended.
-func (l *link) open(c context.Context) (*quic.Stream, error) {
-	n, e := l.connect(c)
-	if e != nil {
-		return nil, e
-	}
-	s, e := n.OpenStreamSync(c)
-	if e == nil || c.Err() != nil {
-		return s, e
-	}
-	// A connection refuses streams a moment before its context ends.
-	l.connection.CompareAndSwap(n, nil)
-	if n, e = l.connect(c); e != nil {
-		return nil, e
-	}
-	return n.OpenStreamSync(c)
-}
-
 // connect returns the current connection, or waits for a new one that all
 // waiting calls share. Each waits no longer than its own context.
-func (l *link) connect(c context.Context) (*quic.Conn, error) {
+func (l *link) connect(c context.Context) (*connection, error) {
 	for {
-		if n := l.connection.Load(); n != nil && n.Context().Err() == nil {
+		if n := l.connection.Load(); n != nil && n.http.CanTakeNewRequest() {
 			return n, nil
 		}
 		d := l.dialling.Load()
@@ -151,7 +165,7 @@
 
 // dial opens a connection under the transport's context and publishes it.
 func (l *link) dial(d *dial) {
-	n, e := l.transport.dial(l.instance, l.address, l.patience(), l.failures.Load() > 0)
+	n, e := l.transport.dial(l, l.patience())
 	if e != nil {
 		l.failures.Add(1)
 	} else {
@@ -187,17 +201,6 @@
 	return &w.Refusal
 }
 
-// lost returns the refusal of a call whose reply did not come whole. A server
-// that refuses the client's certificate has read no stream.
-func (l *link) lost(c context.Context, e error) error {
-	var t *quic.TransportError
-	if errors.As(e, &t) && t.Remote && t.ErrorCode.IsCryptoError() {
-		l.transport.counters.tlsRefused.Inc(1)
-		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable, e)
-	}
-	return l.refusal(lavenderridge.OutcomeUnknown, ended(c, lavenderridge.ReasonConnectionLost), e)
-}
-
 // refusal returns a refusal by this daemon; its place is left open, because
 // the peer did not say it.
 func (l *link) refusal(o lavenderridge.Outcome, r lavenderridge.Reason, e error) error {
--- a/internal/transport/peerquic/message.go
+++ b/internal/transport/peerhttp/message.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"fmt"
@@ -162,14 +162,14 @@
 func encode(k byte, v any) ([]byte, error) {
 	b, e := cbor.Marshal(compact(v))
 	if e != nil {
-		return nil, fmt.Errorf("peerquic: encode: %w", e)
+		return nil, fmt.Errorf("peerhttp: encode: %w", e)
 	}
 	return append([]byte{k}, b...), nil
 }
 
 func decode(b []byte, v any) error {
 	if e := decodeCompact(b, v); e != nil {
-		return fmt.Errorf("peerquic: decode: %w", e)
+		return fmt.Errorf("peerhttp: decode: %w", e)
 	}
 	return nil
 }
--- a/internal/transport/peerquic/option.go
+++ b/internal/transport/peerhttp/option.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"time"
--- /dev/null
+++ b/internal/transport/peerhttp/receive.go
@@ -0,0 +1,24 @@
+package peerhttp
+
+import (
+	"errors"
+	"io"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// receive reads a whole message of at most n bytes. One that breaks off gives
+// an error and never a part.
+func receive(r io.Reader, n lavenderridge.ByteCount) ([]byte, error) {
+	b, e := io.ReadAll(io.LimitReader(r, int64(n)+1))
+	if e != nil {
+		return nil, e
+	}
+	if lavenderridge.ByteCount(len(b)) > n {
+		return nil, errors.New("message too large")
+	}
+	if len(b) == 0 {
+		return nil, errors.New("empty message")
+	}
+	return b, nil
+}
--- a/internal/transport/peerquic/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -1,55 +1,79 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"sync"
+	"log"
+	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/quic-go/quic-go"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"golang.org/x/net/http2"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
+// shutdownTimeout bounds the end of the last replies when the server stops.
+const shutdownTimeout = 2 * time.Second
+
 // A Server answers the calls of other daemons.
 type Server struct {
 	transport *Transport
 	peer      lavenderridge.Peer
-	// connections counts those that are being served.
-	connections sync.WaitGroup
-	workers     *workers
+	http      *kratoshttp.Server
+	activity  activity
 }
 
 // NewServer returns a server that passes the calls on t to the peer p.
 func NewServer(t *Transport, p lavenderridge.Peer) *Server {
-	return &Server{transport: t, peer: p, workers: newWorkers()}
+	s := &Server{transport: t, peer: p}
+	s.http = kratoshttp.NewServer(
+		kratoshttp.Listener(t.listener),
+		kratoshttp.Address(string(t.Address())),
+		kratoshttp.Timeout(0),
+		kratoshttp.TLSConfig(s.tlsConfig()),
+		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
+	)
+	s.http.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	s.http.ReadHeaderTimeout = dialTimeout
+	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
+	return s
 }
 
 // Serve accepts connections until c ends. It answers running calls, and those
 // that still come, until none has come for a short time.
 func (s *Server) Serve(c context.Context) error {
-	l, e := s.transport.quic.Listen(s.tlsConfig(), quicConfig())
-	if e != nil {
-		return fmt.Errorf("peerquic: listen: %w", e)
-	}
-	defer s.workers.wait.Wait()
-	defer s.connections.Wait()
-	defer func() { _ = l.Close() }()
-	for {
-		n, e := l.Accept(c)
-		if e != nil {
-			return acceptError(c, e)
-		}
-		s.connections.Go(func() { s.serveConnection(c, n) })
+	x := context.WithoutCancel(c)
+	f := make(chan error, 1)
+	go func() { f <- s.http.Start(x) }()
+	select {
+	case e := <-f:
+		return serveError(e)
+	case <-c.Done():
+	}
+	s.activity.quiet(x)
+	x, n := context.WithTimeout(x, shutdownTimeout)
+	defer n()
+	if e := s.http.Stop(x); e != nil {
+		return fmt.Errorf("peerhttp: stop: %w", e)
+	}
+	return serveError(<-f)
+}
+
+func serveError(e error) error {
+	if e == nil || errors.Is(e, http.ErrServerClosed) {
+		return nil
 	}
+	return fmt.Errorf("peerhttp: serve: %w", e)
 }
 
 // tlsConfig counts the connections that are refused for their certificate.
 func (s *Server) tlsConfig() *tls.Config {
-	t := s.transport.keys.Server(protocol)
+	t := s.transport.keys.Server(http2.NextProtoTLS)
 	f := t.VerifyConnection
 	t.VerifyConnection = func(v tls.ConnectionState) error {
 		e := f(v)
@@ -61,63 +85,32 @@
 	return t
 }
 
-func acceptError(c context.Context, e error) error {
-	if c.Err() != nil || errors.Is(e, quic.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("peerquic: accept: %w", e)
-}
-
-func (s *Server) serveConnection(c context.Context, n *quic.Conn) {
-	defer func() { _ = n.CloseWithError(codeClosed, "") }()
-	i, e := s.transport.keys.Verify(n.ConnectionState().TLS)
+// serve answers one call. A call that did not arrive whole gets no reply.
+func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
+	s.activity.begin()
+	defer s.activity.end()
+	i, e := s.transport.keys.Verify(*q.TLS)
 	if e != nil {
+		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	a, f := context.WithCancel(n.Context())
-	defer f()
-	var w sync.WaitGroup
-	defer w.Wait()
-	var k activity
-	g := context.AfterFunc(c, func() {
-		k.quiet(a)
-		f()
-	})
-	defer g()
-	for {
-		t, e := n.AcceptStream(a)
-		if e != nil {
-			return
-		}
-		k.begin()
-		w.Add(1)
-		s.workers.run(c, func() {
-			defer w.Done()
-			defer k.end()
-			s.serveStream(t, i)
-		})
-	}
-}
-
-func (s *Server) serveStream(t *quic.Stream, i peertls.Identity) {
-	b, e := receive(t, s.transport.maxMessage, func() {})
+	b, e := receive(q.Body, s.transport.maxMessage)
 	if e != nil {
-		cancel(t)
-		return
+		panic(http.ErrAbortHandler)
 	}
-	p, e := s.answer(t.Context(), b, i)
+	p, e := s.answer(q.Context(), b, i)
 	if e != nil {
-		cancel(t)
-		return
+		panic(http.ErrAbortHandler)
 	}
-	_ = send(t, p)
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	w.Header().Set("Content-Length", strconv.Itoa(len(p)))
+	// A reply that can't be written is one that the caller does not wait for.
+	_, _ = w.Write(p)
 }
 
 // answer returns the reply to the message b of the daemon i.
 func (s *Server) answer(c context.Context, b []byte, i peertls.Identity) ([]byte, error) {
-	if kind(b[0]) == kindPing {
-		return []byte{byte(statusReply)}, nil
-	}
 	v, e := s.dispatch(c, kind(b[0]), b[1:], i)
 	if e != nil {
 		return encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
--- a/internal/transport/peerquic/session_test.go
+++ b/internal/transport/peerhttp/session_test.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
@@ -48,9 +48,10 @@
 	registry  metrics.Registry
 	client    *Transport
 	server    *Transport
+	answering *Server
 	stop      context.CancelFunc
 	served    chan error
-	link      *standin.UDP
+	link      *standin.TCP
 	started   map[string]chan string
 	cancels   map[string]context.CancelFunc
 }
@@ -73,7 +74,7 @@
 	s.serve("127.0.0.1:0", k)
 	s.connect(s.authority)
 	c, f := context.WithCancel(context.Background())
-	if s.link, e = standin.NewUDP(c, s.server.Address()); e != nil {
+	if s.link, e = standin.NewTCP(c, s.server.Address()); e != nil {
 		t.Fatal(e)
 	}
 	t.Cleanup(func() {
@@ -102,8 +103,9 @@
 	var c context.Context
 	c, s.stop = context.WithCancel(context.Background())
 	s.server, s.served = t, make(chan error, 1)
-	f := s.served
-	go func() { f <- NewServer(t, &s.peer).Serve(c) }()
+	s.answering = NewServer(t, &s.peer)
+	f, h := s.served, s.answering
+	go func() { f <- h.Serve(c) }()
 }
 
 func (s *session) halt() {
@@ -179,7 +181,7 @@
 		time.Sleep(50 * time.Millisecond)
 	case "crash":
 		a, k := s.server.Address(), s.server.keys
-		_ = s.server.quic.Conn.Close()
+		_ = s.answering.http.Close()
 		s.halt()
 		s.serve(a, k)
 	case "impostor":
@@ -261,7 +263,7 @@
 		f.Add([]byte{byte(k), 0xa0})
 		f.Add([]byte{byte(k), 0x9f, 0xff})
 	}
-	s := NewServer(&Transport{}, &slowPeer{})
+	s := &Server{peer: &slowPeer{}}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if len(b) == 0 || kind(b[0]) != kindHandle && kind(b[0]) <= kindHandOver {
 			return
--- a/internal/transport/peerquic/traffic.go
+++ b/internal/transport/peerhttp/traffic.go
@@ -1,4 +1,4 @@
-package peerquic
+package peerhttp
 
 import (
 	"sync/atomic"
@@ -11,7 +11,7 @@
 	calls   [kindHandOver + 1]atomic.Int64
 	payload [kindHandOver + 1]atomic.Int64
 	sent    atomic.Int64
-	packets atomic.Int64
+	writes  atomic.Int64
 }
 
 // Traffic returns the traffic of the transport.
@@ -45,8 +45,8 @@
 	return c.calls[kindActivate].Load(), lavenderridge.ByteCount(c.payload[kindActivate].Load())
 }
 
-// Datagrams returns the bytes of all UDP payloads sent and the number of write
-// calls, each of which may carry several packets.
-func (c *Traffic) Datagrams() (lavenderridge.ByteCount, int64) {
-	return lavenderridge.ByteCount(c.sent.Load()), c.packets.Load()
+// Sent returns the bytes written to all connections, without the headers of TCP
+// and IP, and the number of write calls.
+func (c *Traffic) Sent() (lavenderridge.ByteCount, int64) {
+	return lavenderridge.ByteCount(c.sent.Load()), c.writes.Load()
 }
--- a/internal/transport/peerquic/truncated_test.go
+++ b/internal/transport/peerhttp/truncated_test.go
@@ -1,12 +1,11 @@
-package peerquic
+package peerhttp
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
-	"github.com/quic-go/quic-go"
-
 	"github.com/lavenderridge/lavenderridge"
 )
 
@@ -14,11 +13,11 @@
 // early, is never taken for a whole one.
 func TestTruncatedReply(t *testing.T) {
 	for n, c := range map[string]struct {
-		end  func(*quic.Stream)
+		end  func()
 		want lavenderridge.Reason
 	}{
-		"reset":  {func(s *quic.Stream) { s.CancelWrite(codeCancelled) }, lavenderridge.ReasonConnectionLost},
-		"closed": {func(s *quic.Stream) { _ = s.Close() }, lavenderridge.ReasonBadResponse},
+		"reset":  {func() { panic(http.ErrAbortHandler) }, lavenderridge.ReasonConnectionLost},
+		"closed": {func() {}, lavenderridge.ReasonBadResponse},
 	} {
 		t.Run(n, func(t *testing.T) {
 			s := newSession(t)
@@ -27,33 +26,37 @@
 				t.Fatal(e)
 			}
 			defer func() { _ = u.Close() }()
-			l, e := u.quic.Listen(u.keys.Server(protocol), quicConfig())
-			if e != nil {
-				t.Fatal(e)
-			}
-			go answerHalf(l, c.end)
+			h := NewServer(u, &s.peer)
+			h.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { answerHalf(t, w, q, c.end) })
+			d := make(chan error, 1)
 			x, f := context.WithTimeout(context.Background(), 2*time.Second)
-			defer f()
+			go func() { d <- h.Serve(x) }()
 			p, e := s.client.Dial(&lavenderridge.Instance{ID: "b", Peer: u.Address()}).Handle(x, &lavenderridge.Request{ID: "r", Attempt: 1})
 			if v := lavenderridge.AsRefusal(e); e == nil || v.Outcome != lavenderridge.OutcomeUnknown || v.Reason != c.want {
 				t.Errorf("response %+v, error %v; want Unknown %s", p, e, c.want)
 			}
+			f()
+			if e := <-d; e != nil {
+				t.Error(e)
+			}
 		})
 	}
 }
 
 // answerHalf answers one call with the first half of a response.
-func answerHalf(l *quic.Listener, end func(*quic.Stream)) {
-	n, e := l.Accept(context.Background())
-	if e != nil {
-		return
+func answerHalf(t *testing.T, w http.ResponseWriter, q *http.Request, end func()) {
+	if _, e := receive(q.Body, defaultMaxMessage); e != nil {
+		t.Error(e)
 	}
-	s, e := n.AcceptStream(context.Background())
+	b, e := encode(byte(statusReply), newWireResponse(&lavenderridge.Response{ID: "r", Attempt: 1, Status: 200, Body: make([]byte, 100)}))
 	if e != nil {
-		return
+		t.Error(e)
+	}
+	if _, e := w.Write(b[:len(b)/2]); e != nil {
+		t.Error(e)
+	}
+	if e := http.NewResponseController(w).Flush(); e != nil {
+		t.Error(e)
 	}
-	_, _ = receive(s, defaultMaxMessage, func() {})
-	b, _ := encode(byte(statusReply), newWireResponse(&lavenderridge.Response{ID: "r", Attempt: 1, Status: 200, Body: make([]byte, 100)}))
-	_, _ = s.Write(b[:len(b)/2])
-	end(s)
+	end()
 }
