Stop within the grace time, and give the backend server up last

A Stopper closes a server as soon as no request runs on any connection; the owner takes work until the stop delay ends, while readiness and neighbours hear of the stop at once.

Seen failing first: TestStopper with the library's shutdown, TestStopDelayKeepsWork with the owner that leaves at once.

--- a/internal/daemon/assembly/adapter_test.go
+++ b/internal/daemon/assembly/adapter_test.go
@@ -14,6 +14,9 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
+// stopDelay is long enough for several requests of a test.
+const stopDelay = 500 * time.Millisecond
+
 // platformFleet is a fleet of daemons that read a stand-in of a platform's
 // store, one in each data centre.
 type platformFleet struct {
@@ -69,7 +72,7 @@
 	d, e := assembly.NewDaemon(c, assembly.Config{
 		Instance: f.id(i), DataCentre: f.centre(i), Service: "roster", Backend: f.backends[i].Address(), Connections: 20,
 		Caller: "127.0.0.1:0", Peer: p, Operator: "127.0.0.1:0", MaxBody: lavenderridge.Mebibyte,
-		StopTimeout: 2 * time.Second, FleetSize: 1, RetryRatio: 0.2, RetryExtra: 64, ColdFactor: 1,
+		StopTimeout: 2 * time.Second, StopDelay: stopDelay, FleetSize: 1, RetryRatio: 0.2, RetryExtra: 64, ColdFactor: 1,
 	}, k, assembly.WithAdapter(factsource.Adapter{Source: f.source}))
 	if e != nil {
 		f.t.Fatal(e)
@@ -182,3 +185,25 @@
 		t.Errorf("homes are not dormant: %+v", h)
 	}
 }
+
+// TestStopDelayKeepsWork checks that a daemon that stops says so at once, and
+// gives its backend server up only after the stop delay.
+func TestStopDelayKeepsWork(t *testing.T) {
+	f := newPlatformFleet(t, 2)
+	f.list(1, lavenderridge.InstanceLeaving)
+	f.wait(func(d *assembly.Daemon) bool { return d.Status().Versions.InstanceList >= 2*4 })
+	b := time.Now()
+	d, x := make(chan struct{}), f.stop[0]
+	f.stop[0] = func() {}
+	go func() {
+		defer close(d)
+		x()
+	}()
+	f.wait(func(d *assembly.Daemon) bool { return d != f.daemons[0] || d.Status().Leaving })
+	for time.Since(b) < stopDelay-200*time.Millisecond {
+		if s := f.get(1, "/read/x"); s != http.StatusOK {
+			t.Errorf("status %d while the only target stops", s)
+		}
+	}
+	<-d
+}
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
@@ -14,6 +15,7 @@
 	owner    *backendserver.OwnerHandler
 	handler  lavenderridge.Handler
 	suspects lavenderridge.SuspectStore
+	stopping atomic.Bool
 }
 
 func newOwnerPart(c context.Context, d *Daemon) (*ownerPart, error) {
@@ -57,15 +59,21 @@
 
 // leaving reports whether the daemon takes no new work because it stops.
 func (p *ownerPart) leaving() bool {
-	return p.owner.Leaving()
+	return p.stopping.Load()
 }
 
-// stop refuses new work as soon as c ends, and returns when what runs has
-// ended, or an error after the configured time.
+// stop tells at once that the daemon leaves when c ends, refuses new work after
+// the stop delay, in which callers are still answered as well, and returns when
+// what runs has ended, or an error after the configured time.
 func (p *ownerPart) stop(c context.Context, d *Daemon) error {
 	<-c.Done()
+	p.stopping.Store(true)
+	c = context.WithoutCancel(c)
+	if e := lavenderridge.Sleep(c, d.config.StopDelay); e != nil {
+		return e
+	}
 	p.owner.Leave()
-	x, f := context.WithTimeout(context.WithoutCancel(c), d.config.StopTimeout)
+	c, f := context.WithTimeout(c, d.config.StopTimeout)
 	defer f()
-	return p.owner.Drain(x)
+	return p.owner.Drain(c)
 }
--- a/internal/daemon/backendserver/stop.go
+++ b/internal/daemon/backendserver/stop.go
@@ -18,11 +18,6 @@
 	h.record("DrainStarted", "the daemon stops", t)
 }
 
-// Leaving reports whether the handler takes no new requests because it stops.
-func (h *OwnerHandler) Leaving() bool {
-	return h.drain.Started()
-}
-
 // Drain returns once no request is inside and none has come for a while, so
 // that other daemons have heard and none is on its way; or when c ends.
 func (h *OwnerHandler) Drain(c context.Context) error {
--- a/internal/measure/convergence/usage.go
+++ b/internal/measure/convergence/usage.go
@@ -19,7 +19,7 @@
 // usage is what a fleet has used up to a moment.
 type usage struct {
 	time          time.Time
-	sent     float64
+	sent          float64
 	exchanges     float64
 	pulls         float64
 	calls         float64
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -15,6 +15,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const (
@@ -28,6 +29,7 @@
 // A Server answers callers by a handler.
 type Server struct {
 	*kratoshttp.Server
+	stopper *plainhttp.Stopper
 	handler lavenderridge.Handler
 	maxBody lavenderridge.ByteCount
 	// bodyTimeout bounds the arrival of one body.
@@ -57,6 +59,7 @@
 		// The filter answers before the router, which would rewrite paths.
 		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	)
+	s.stopper = plainhttp.NewStopper(s.Server)
 	s.ReadHeaderTimeout = readHeaderTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeader
@@ -177,7 +180,7 @@
 	}
 	t, n := context.WithTimeout(x, d)
 	defer n()
-	if e := s.Stop(t); e != nil {
+	if e := s.stopper.Stop(t, s.Server); e != nil {
 		return fmt.Errorf("callerhttp: stop: %w", e)
 	}
 	return <-f
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 // shutdownTimeout bounds the end of the last replies when the server stops.
@@ -25,6 +26,7 @@
 	transport *Transport
 	peer      lavenderridge.Peer
 	http      *kratoshttp.Server
+	stopper   *plainhttp.Stopper
 	activity  activity
 }
 
@@ -38,6 +40,7 @@
 		kratoshttp.TLSConfig(s.tlsConfig()),
 		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	)
+	s.stopper = plainhttp.NewStopper(s.http)
 	s.http.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
 	s.http.ReadHeaderTimeout = dialTimeout
 	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
@@ -58,7 +61,7 @@
 	s.activity.quiet(x)
 	x, n := context.WithTimeout(x, shutdownTimeout)
 	defer n()
-	if e := s.http.Stop(x); e != nil {
+	if e := s.stopper.Stop(x, s.http); e != nil {
 		return fmt.Errorf("peerhttp: stop: %w", e)
 	}
 	return serveError(<-f)
--- a/internal/transport/plainhttp/client.go
+++ b/internal/transport/plainhttp/client.go
@@ -1,5 +1,6 @@
 // Package plainhttp makes HTTP clients that hand every response to their
-// caller, whatever its status, and choose no address by themselves.
+// caller, whatever its status, and choose no address by themselves, and stops
+// HTTP servers.
 package plainhttp
 
 import (
--- /dev/null
+++ b/internal/transport/plainhttp/stopper_test.go
@@ -0,0 +1,58 @@
+package plainhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// TestStopper checks that a stop waits for a running request, and not for a
+// connection on which nothing has come.
+func TestStopper(t *testing.T) {
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	b := make(chan struct{})
+	h := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0), kratoshttp.Filter(func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(b)
+			time.Sleep(300 * time.Millisecond)
+			_, _ = fmt.Fprint(w, "whole")
+		})
+	}))
+	s := NewStopper(h)
+	d := make(chan error, 1)
+	go func() { d <- h.Start(context.Background()) }()
+	var a [2]net.Conn
+	for i := range a {
+		if a[i], e = net.Dial("tcp", l.Addr().String()); e != nil {
+			t.Fatal(e)
+		}
+		defer func() { _ = a[i].Close() }()
+	}
+	_, _ = fmt.Fprint(a[0], "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-b
+	c, f := context.WithTimeout(t.Context(), 10*time.Second)
+	defer f()
+	n := time.Now()
+	if e := s.Stop(c, h); e != nil {
+		t.Error(e)
+	}
+	if v := time.Since(n); v < 200*time.Millisecond || v > 2*time.Second {
+		t.Errorf("stopped after %s; want a little more than the request takes", v)
+	}
+	p, e := http.ReadResponse(bufio.NewReader(a[0]), nil)
+	if e != nil || p.ContentLength != 5 {
+		t.Errorf("the running request got %+v, %v", p, e)
+	}
+	if e := <-d; e != nil {
+		t.Error(e)
+	}
+}
