--- /dev/null
+++ b/internal/transport/logjson/doc.go
@@ -0,0 +1,2 @@
+// Package logjson reads the logs that daemons write in JSON.
+package logjson
