Listen for other daemons on TCP in checks and tests

Left over from the change to HTTP/2: checks of settings, the mesh and the tests still looked for free UDP ports, and the peer address was let off the check for clashes.

--- a/internal/cmd/lavenderridge/atmostonce_test.go
+++ b/internal/cmd/lavenderridge/atmostonce_test.go
@@ -128,7 +128,7 @@
 		d := []lavenderridge.DataCentreID{"fukuoka", "kumamoto"}[i%2]
 		return lavenderridge.Instance{
 			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: d, Service: "roster",
-			Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+			Peer: lavenderridge.Address(freeAddress(t)), State: lavenderridge.InstanceLive,
 		}
 	}
 	l := &lavenderridge.InstanceList{}
--- a/internal/cmd/lavenderridge/configuration_test.go
+++ b/internal/cmd/lavenderridge/configuration_test.go
@@ -36,7 +36,7 @@
 	for i := range n {
 		l.Instances = append(l.Instances, lavenderridge.Instance{
 			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: []lavenderridge.DataCentreID{"fukuoka", "kumamoto"}[i%2],
-			Service: "roster", Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+			Service: "roster", Peer: lavenderridge.Address(freeAddress(t)), State: lavenderridge.InstanceLive,
 		})
 	}
 	b, e := instancesjson.Format(&l)
--- a/internal/cmd/lavenderridge/endtoend_test.go
+++ b/internal/cmd/lavenderridge/endtoend_test.go
@@ -96,19 +96,12 @@
 // freeAddress returns an address that nothing listens on. Its port is below
 // those that the system gives to outgoing connections, one of which might
 // otherwise take it before the process that it is for.
-func freeAddress(t *testing.T, network string) string {
+func freeAddress(t *testing.T) string {
 	t.Helper()
 	const lowest, highest, tries = 12000, 32000, 100
 	for range tries {
 		a := fmt.Sprintf("127.0.0.1:%d", lowest+rand.N(highest-lowest))
-		var c io.Closer
-		var e error
-		if network == "udp" {
-			c, e = net.ListenPacket(network, a)
-		} else {
-			c, e = net.Listen(network, a)
-		}
-		if e == nil {
+		if c, e := net.Listen("tcp", a); e == nil {
 			_ = c.Close()
 			return a
 		}
@@ -166,7 +159,7 @@
 		t.Fatal(e)
 	}
 	t.Cleanup(b.Close)
-	p := &process{instance: n, backend: b, caller: freeAddress(t, "tcp"), operator: freeAddress(t, "tcp"), output: &bytes.Buffer{}}
+	p := &process{instance: n, backend: b, caller: freeAddress(t), operator: freeAddress(t), output: &bytes.Buffer{}}
 	s := fmt.Sprintf("Instance = %q\nDataCentre = %q\nService = %q\n[ConfigService]\nAddress = %q\n[Backend]\nAddress = %q\n[Caller]\nAddress = %q\n[Peer]\nAddress = %q\n[Operator]\nAddress = %q\n[Keys]\nAuthority = %q\nCertificate = %q\nKey = %q\n",
 		n.ID, n.DataCentre, n.Service, source, b.Address(), p.caller, n.Peer, p.operator,
 		write("ca.pem", peertls.EncodeCertificate(a.Certificate().Raw)), write("cert.pem", peertls.EncodeCertificate(c.Certificate[0])), write("key.pem", k))
@@ -210,7 +203,7 @@
 	for i, d := range []lavenderridge.DataCentreID{"fukuoka", "fukuoka", "kumamoto", "kumamoto"} {
 		l.Instances = append(l.Instances, lavenderridge.Instance{
 			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: d, Service: "roster",
-			Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+			Peer: lavenderridge.Address(freeAddress(t)), State: lavenderridge.InstanceLive,
 		})
 	}
 	b, e := instancesjson.Format(&l)
--- a/internal/cmd/lavenderridge/firststeps_test.go
+++ b/internal/cmd/lavenderridge/firststeps_test.go
@@ -90,17 +90,12 @@
 	}
 }
 
-// onPorts puts a free address in the place of each example address in s. The
-// addresses of peers, 127.0.0.1:72xx, are UDP.
+// onPorts puts a free address in the place of each example address in s.
 func onPorts(t *testing.T, s string, ports map[string]string) string {
 	t.Helper()
 	return exampleAddress.ReplaceAllStringFunc(s, func(a string) string {
 		if ports[a] == "" {
-			n := "tcp"
-			if strings.HasPrefix(a, "127.0.0.1:72") {
-				n = "udp"
-			}
-			ports[a] = freeAddress(t, n)
+			ports[a] = freeAddress(t)
 		}
 		return ports[a]
 	})
--- a/internal/cmd/lavenderridge/measureconvergencecmd.go
+++ b/internal/cmd/lavenderridge/measureconvergencecmd.go
@@ -37,7 +37,7 @@
 		j := json.NewEncoder(m.out)
 		return convergence.Run(c, m.plan, func(r convergence.Report) { _ = j.Encode(r) })
 	}
-	_, _ = fmt.Fprintf(m.out, "%d listed instances, %d services, %d changes of each document; bytes are UDP, sent and received, with headers\n", m.plan.Listed, m.plan.Services, m.plan.Changes)
+	_, _ = fmt.Fprintf(m.out, "%d listed instances, %d services, %d changes of each document; bytes are sent and received, with TCP and IP headers\n", m.plan.Listed, m.plan.Services, m.plan.Changes)
 	_, _ = fmt.Fprintln(m.out, "daemons mode       | catalogue p50/p99/max ms | list p50/p99/max ms | storm ready p50/max s | B/s rest  B/change  B/storm | per change: announce delta whole pull B | source calls/s rest, storm all, peak/s, refused | CPU rest %  ms/change | heap MB  RSS MB")
 	return convergence.Run(c, m.plan, m.print)
 }
--- a/internal/cmd/lavenderridge/owner_test.go
+++ b/internal/cmd/lavenderridge/owner_test.go
@@ -44,7 +44,7 @@
 	for i := range n {
 		m.list.Instances = append(m.list.Instances, lavenderridge.Instance{
 			ID: lavenderridge.InstanceID(fmt.Sprintf("roster-%d", i)), DataCentre: "fukuoka", Service: "roster",
-			Peer: lavenderridge.Address(freeAddress(t, "udp")), State: lavenderridge.InstanceLive,
+			Peer: lavenderridge.Address(freeAddress(t)), State: lavenderridge.InstanceLive,
 		})
 	}
 	m.publishList(t)
--- a/internal/cmd/lavenderridge/session_test.go
+++ b/internal/cmd/lavenderridge/session_test.go
@@ -38,7 +38,7 @@
 			case "run":
 				return runSession(names, x.Input)
 			case "free":
-				names[x.CmdArgs[0].Key] = freeAddress(t, x.CmdArgs[1].Key)
+				names[x.CmdArgs[0].Key] = freeAddress(t)
 				return ""
 			case "operator":
 				n := x.CmdArgs[0].Key
--- a/internal/cmd/settings/reader.go
+++ b/internal/cmd/settings/reader.go
@@ -192,7 +192,6 @@
 }
 
 // distinct adds a finding for each address that clashes with an earlier one.
-// The peer address is UDP and clashes with none of the others.
 func (r *reader) distinct(a ...string) {
 	m := map[string]string{}
 	for _, k := range a {
@@ -201,7 +200,7 @@
 			s = defaultOperator
 		}
 		p, e := netip.ParseAddrPort(s)
-		if e != nil || k == "Peer.Address" {
+		if e != nil {
 			continue
 		}
 		if f, o := m[p.String()]; o {
@@ -223,18 +222,10 @@
 	return e == nil && p.Addr().IsLoopback()
 }
 
-func (r *reader) free(k, n string, a lavenderridge.Address) {
-	var e error
-	if n == "udp" {
-		var c net.PacketConn
-		if c, e = net.ListenPacket(n, string(a)); e == nil {
-			e = c.Close()
-		}
-	} else {
-		var l net.Listener
-		if l, e = net.Listen(n, string(a)); e == nil {
-			e = l.Close()
-		}
+func (r *reader) free(k string, a lavenderridge.Address) {
+	l, e := net.Listen("tcp", string(a))
+	if e == nil {
+		e = l.Close()
 	}
 	if e != nil {
 		r.add(k, "cannot listen: %v", e)
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -179,9 +179,9 @@
 // on and that is in use.
 func (s *Settings) CheckPorts() lavenderridge.Findings {
 	r := s.reader.empty()
-	r.free("Caller.Address", "tcp", s.Daemon.Caller)
-	r.free("Operator.Address", "tcp", s.Daemon.Operator)
-	r.free("Peer.Address", "udp", s.Daemon.Peer)
+	r.free("Caller.Address", s.Daemon.Caller)
+	r.free("Operator.Address", s.Daemon.Operator)
+	r.free("Peer.Address", s.Daemon.Peer)
 	return r.sorted()
 }
 
--- a/internal/measure/convergence/report.go
+++ b/internal/measure/convergence/report.go
@@ -16,11 +16,11 @@
 	// ready.
 	Storm Latencies
 
-	// RestBytes are the UDP bytes that a daemon sends and receives in a second
+	// RestBytes are the bytes that a daemon sends and receives in a second
 	// at rest, headers included; ExchangeBytes is the payload part of it.
 	RestBytes     float64
 	ExchangeBytes float64
-	// ChangeBytes are the UDP bytes of one daemon for one change, above those
+	// ChangeBytes are the bytes of one daemon for one change, above those
 	// at rest; PullBytes is the payload of pulls in it.
 	ChangeBytes float64
 	PullBytes   float64
@@ -30,7 +30,7 @@
 	AntiEntropy   float64
 	Deltas        float64
 	Wholes        float64
-	// StormBytes are the UDP bytes of one daemon from start until ready.
+	// StormBytes are the bytes of one daemon from start until ready.
 	StormBytes float64
 
 	// RestCalls are calls to the source in a second at rest by the whole fleet;
--- a/internal/measure/latency/run.go
+++ b/internal/measure/latency/run.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// steer takes the near data centre out of service for the way over QUIC, and
+// steer takes the near data centre out of service for the way to another daemon, and
 // into service for the others.
 func steer(c context.Context, m *mesh.Mesh, w Way) error {
 	s := lavenderridge.InService
--- a/internal/measure/latency/way.go
+++ b/internal/measure/latency/way.go
@@ -9,6 +9,6 @@
 	Direct Way = "direct"
 	// OneHop goes through the daemon beside the backend server.
 	OneHop Way = "one hop"
-	// TwoHops goes through a daemon and, over QUIC, through another.
+	// TwoHops goes through a daemon and, over HTTP/2, through another.
 	TwoHops Way = "two hops"
 )
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -139,7 +139,7 @@
 	for _, s := range m.services {
 		for _, d := range m.dataCentres {
 			for i := range m.replicas {
-				a, e := freeUDPAddress()
+				a, e := freeAddress()
 				if e != nil {
 					return e
 				}
@@ -158,14 +158,14 @@
 	return nil
 }
 
-// freeUDPAddress returns an address that nothing listens on. Its port is below
+// freeAddress returns an address that nothing listens on. Its port is below
 // those that the system gives to outgoing connections, one of which might
 // otherwise take it before the daemon that it is for.
-func freeUDPAddress() (lavenderridge.Address, error) {
+func freeAddress() (lavenderridge.Address, error) {
 	var x error
 	for range portTries {
 		a := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.N(highestPort-lowestPort))
-		c, e := net.ListenPacket("udp", a)
+		c, e := net.Listen("tcp", a)
 		if e == nil {
 			return lavenderridge.Address(a), c.Close()
 		}
