Run daemons as processes under random faults

A seed gives the faults: stops, kills, pauses, reloads, backend servers that crash, links that fall silent, are reset, cut, cut one way or slow, outages of the source, new catalogues and data centres out of service, in series and overlapping. It judges what callers and backend servers saw.

--- /dev/null
+++ b/internal/cmd/lavenderridge/soakcmd.go
@@ -0,0 +1,126 @@
+package lavenderridge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lavenderridge/lavenderridge/internal/soak/fleet"
+	"github.com/lavenderridge/lavenderridge/internal/soak/judge"
+	"github.com/lavenderridge/lavenderridge/internal/soak/plan"
+)
+
+// soakCmd runs daemons as processes under random faults.
+type soakCmd struct {
+	clause  *kingpin.CmdClause
+	out     io.Writer
+	seed    uint64
+	seeds   int
+	daemons int
+	centres int
+	time    time.Duration
+	keep    string
+	steps   bool
+}
+
+var _ command = (*soakCmd)(nil)
+
+func newSoakCmd(a *kingpin.Application, w io.Writer) command {
+	s := &soakCmd{clause: a.Command("soak", "Run daemons as processes on this machine, disturb them by random faults and check the promises."), out: w}
+	s.clause.Flag("seed", "First seed; zero draws one.").Uint64Var(&s.seed)
+	s.clause.Flag("seeds", "Number of runs, each with the next seed.").Default("1").IntVar(&s.seeds)
+	s.clause.Flag("daemons", "Number of daemons.").Default("8").IntVar(&s.daemons)
+	s.clause.Flag("data-centres", "Number of data centres.").Default("3").IntVar(&s.centres)
+	s.clause.Flag("duration", "How long faults are begun.").Default("15s").DurationVar(&s.time)
+	s.clause.Flag("keep", "Folder for the logs of the daemons, a folder for each seed; without it they are dropped.").StringVar(&s.keep)
+	s.clause.Flag("steps", "Print the faults.").BoolVar(&s.steps)
+	return s
+}
+
+func (s *soakCmd) name() string {
+	return s.clause.FullCommand()
+}
+
+func (s *soakCmd) run(c context.Context) error {
+	if s.daemons < s.centres || s.centres < 2 {
+		return errors.New("soak: want two data centres or more, and a daemon for each")
+	}
+	if s.seed == 0 {
+		s.seed = uint64(rand.Uint32()) + 1
+	}
+	failed := 0
+	for i := range uint64(s.seeds) {
+		o, e := s.one(c, s.seed+i)
+		if e != nil {
+			return e
+		}
+		if !o {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("soak: %d of %d seeds failed", failed, s.seeds)
+	}
+	return nil
+}
+
+// one runs the seed n and reports whether every promise held.
+func (s *soakCmd) one(c context.Context, n uint64) (bool, error) {
+	d, e := s.folder(n)
+	if e != nil {
+		return false, fmt.Errorf("soak: %w", e)
+	}
+	if s.keep == "" {
+		defer func() { _ = os.RemoveAll(d) }()
+	}
+	b, e := os.Executable()
+	if e != nil {
+		return false, fmt.Errorf("soak: %w", e)
+	}
+	p := plan.NewPlan(n, s.daemons, s.centres, s.time)
+	if s.steps {
+		for _, v := range p.Steps {
+			_, _ = fmt.Fprintln(s.out, v)
+		}
+	}
+	c, f := context.WithCancel(c)
+	defer f()
+	l, e := fleet.NewFleet(c, p, b, d)
+	if e != nil {
+		return false, e
+	}
+	v, e := l.Run(c)
+	if e != nil {
+		return false, e
+	}
+	return s.report(p, v), nil
+}
+
+func (s *soakCmd) folder(n uint64) (string, error) {
+	if s.keep == "" {
+		return os.MkdirTemp("", "lavenderridge-soak")
+	}
+	d := filepath.Join(s.keep, fmt.Sprintf("seed-%d", n))
+	return d, os.MkdirAll(d, 0o700)
+}
+
+func (s *soakCmd) report(p *plan.Plan, v *judge.Evidence) bool {
+	r := map[judge.Result]int{}
+	for _, x := range v.Sends {
+		r[x.Result]++
+	}
+	a := judge.Judge(v)
+	_, _ = fmt.Fprintf(s.out, "seed %d: %d faults, %d stops, %d requests (%d answered, %d not run, %d unknown, %d broken, %d unsent), %d runs, %d findings\n",
+		p.Seed, len(p.Steps), len(v.Stops), len(v.Sends), r[judge.Answered], r[judge.NotRun], r[judge.Unknown], r[judge.Broken], r[judge.Unsent], len(v.Runs), len(a))
+	for _, x := range a {
+		_, _ = fmt.Fprintf(s.out, "  %s: %s\n", x.Place, x.Message)
+	}
+	return len(a) == 0
+}
--- /dev/null
+++ b/internal/soak/fleet/fleet.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/soak/judge"
+	"github.com/lavenderridge/lavenderridge/internal/soak/plan"
+	"github.com/lavenderridge/lavenderridge/internal/standin/configservice"
+	"github.com/lavenderridge/lavenderridge/internal/transport/cataloguetoml"
+	"github.com/lavenderridge/lavenderridge/internal/transport/instancesjson"
+	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+)
+
+const (
+	filePermission = 0o600
+	keyLifetime    = 24 * time.Hour
+	stopTimeout    = 4 * time.Second
+	serviceTime    = 5 * time.Millisecond
+	service        = lavenderridge.ServiceID("roster")
+	slots          = lavenderridge.Slots(10)
+	connections    = 130
+	queue          = 20
+	entryTimeout   = 2 * time.Second
+	// startBound is how long all daemons may take until they take work.
+	startBound = 20 * time.Second
+	// settleTime is how long daemons are left alone before the last checks: a
+	// moved key waits until all instances have answered or were dropped.
+	settleTime = 8 * time.Second
+	// Ports below those that the system gives to outgoing connections, one of
+	// which might otherwise take an address before the process that it is for.
+	lowestPort, highestPort, portTries = 12000, 32000, 100
+)
+
+const settings = `Instance = %q
+DataCentre = %q
+Service = %q
+[ConfigService]
+Address = %q
+[Backend]
+Address = %q
+[Caller]
+Address = %q
+[Peer]
+Address = %q
+[Operator]
+Address = %q
+[Limits]
+StopTimeout = "%s"
+[Keys]
+Authority = %q
+Certificate = %q
+Key = %q
+`
+
+// A Fleet is a set of daemons with the outside systems that they speak to.
+type Fleet struct {
+	plan      *plan.Plan
+	binary    string
+	source    *configservice.Server
+	http      *httptest.Server
+	processes []*process
+	catalogue *lavenderridge.Catalogue
+
+	mutex    sync.Mutex
+	evidence judge.Evidence
+	away     map[lavenderridge.DataCentreID]time.Time
+}
+
+// NewFleet prepares the daemons of the plan p, which run the program b and have
+// their files in the folder d. Its links run until c ends.
+func NewFleet(c context.Context, p *plan.Plan, b, d string) (*Fleet, error) {
+	f := &Fleet{
+		plan: p, binary: b, source: configservice.NewServer(0), away: map[lavenderridge.DataCentreID]time.Time{},
+		evidence: judge.Evidence{Slots: slots, Peaks: map[lavenderridge.InstanceID]lavenderridge.Slots{}},
+	}
+	f.http = httptest.NewServer(f.source)
+	a, e := peertls.NewAuthority(time.Now(), keyLifetime)
+	if e != nil {
+		return nil, e
+	}
+	var l lavenderridge.InstanceList
+	for i := range p.Daemons {
+		n := lavenderridge.Instance{
+			ID: lavenderridge.InstanceID(fmt.Sprintf("n-%02d", i)), DataCentre: centre(i % p.Centres),
+			Service: service, State: lavenderridge.InstanceLive,
+		}
+		v, e := newProcess(c, d, n, a, lavenderridge.Address(strings.TrimPrefix(f.http.URL, "http://")))
+		if e != nil {
+			return nil, e
+		}
+		f.processes = append(f.processes, v)
+		l.Instances = append(l.Instances, v.instance)
+	}
+	t, e := instancesjson.Format(&l)
+	if e != nil {
+		return nil, e
+	}
+	f.source.Publish(lavenderridge.DocumentInstanceList, t)
+	f.catalogue = newCatalogue(p.Centres)
+	return f, f.publish()
+}
+
+func centre(i int) lavenderridge.DataCentreID {
+	return lavenderridge.DataCentreID(fmt.Sprintf("dc-%d", i))
+}
+
+func newCatalogue(c int) *lavenderridge.Catalogue {
+	k := &lavenderridge.Catalogue{Services: []lavenderridge.Service{{ID: service, Slots: slots, Connections: connections, Queue: queue}}}
+	for i := range c {
+		k.DataCentres = append(k.DataCentres, lavenderridge.DataCentre{ID: centre(i), Region: "region", State: lavenderridge.InService})
+	}
+	for _, n := range []string{readPath, writePath} {
+		k.Entries = append(k.Entries, lavenderridge.Entry{
+			ID: lavenderridge.EntryID(n), Owner: "operators", Class: lavenderridge.ClassNormal, Service: service,
+			PathPrefix: "/" + n, Idempotent: n == readPath, Timeout: entryTimeout,
+			Objective: lavenderridge.Objective{Success: 0.99, Latency: entryTimeout},
+		})
+	}
+	return k
+}
+
+// publish puts f.catalogue in force; f.mutex is held once the fleet runs.
+func (f *Fleet) publish() error {
+	b, e := cataloguetoml.Format(f.catalogue)
+	if e != nil {
+		return e
+	}
+	f.evidence.Latest = f.source.Publish(lavenderridge.DocumentCatalogue, b)
+	return nil
+}
+
+func freeAddress() (lavenderridge.Address, error) {
+	var x error
+	for range portTries {
+		a := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.N(highestPort-lowestPort))
+		l, e := net.Listen("tcp", a)
+		if e == nil {
+			return lavenderridge.Address(a), l.Close()
+		}
+		x = e
+	}
+	return "", fmt.Errorf("fleet: no free port: %w", x)
+}
+
+// Run starts the daemons, plays the plan beside callers, ends the daemons and
+// returns what was seen.
+func (f *Fleet) Run(c context.Context) (*judge.Evidence, error) {
+	defer f.http.Close()
+	defer f.http.CloseClientConnections()
+	for _, p := range f.processes {
+		defer p.backend.Close()
+		if e := p.start(f.binary); e != nil {
+			return nil, errors.Join(e, f.killAll())
+		}
+	}
+	if e := f.play(c); e != nil {
+		return nil, errors.Join(e, f.killAll())
+	}
+	for _, p := range f.processes {
+		if e := p.stop(); e != nil {
+			f.ended(e)
+		}
+		f.evidence.Peaks[p.instance.ID] = p.backend.Peak()
+		for _, r := range p.backend.Record() {
+			f.evidence.Runs = append(f.evidence.Runs, judge.Run{
+				Request: r.Request, Key: r.Key, Instance: p.instance.ID, DataCentre: p.instance.DataCentre, Begun: r.Begun,
+			})
+		}
+	}
+	return &f.evidence, nil
+}
+
+func (f *Fleet) killAll() error {
+	var a []error
+	for _, p := range f.processes {
+		if p.command != nil {
+			a = append(a, p.kill())
+		}
+	}
+	return errors.Join(a...)
+}
+
+// play runs callers and faults, and checks at the end that the fleet serves.
+func (f *Fleet) play(c context.Context) error {
+	if e := f.waitReady(c); e != nil {
+		return e
+	}
+	x, n := context.WithCancel(c)
+	defer n()
+	var w errgroup.Group
+	for i := range callers {
+		w.Go(func() error { return f.call(x, i) })
+	}
+	w.Go(func() error { return f.look(x) })
+	e := f.disturb(c)
+	if e == nil {
+		e = lavenderridge.Sleep(c, settleTime)
+	}
+	n()
+	e = errors.Join(e, w.Wait())
+	if e != nil {
+		return e
+	}
+	f.probe(c)
+	return nil
+}
+
+func (f *Fleet) waitReady(c context.Context) error {
+	c, n := context.WithTimeout(c, startBound)
+	defer n()
+	for _, p := range f.processes {
+		for {
+			s, e := status(c, p)
+			if e == nil && s.Ready && s.Home.Active {
+				break
+			}
+			if e := lavenderridge.Sleep(c, lookPeriod); e != nil {
+				return fmt.Errorf("fleet: %s is not ready: %w", p.instance.ID, e)
+			}
+		}
+	}
+	return nil
+}
+
+func status(c context.Context, p *process) (*operatorhttp.Status, error) {
+	l, e := operatorhttp.NewClient(c, p.operator)
+	if e != nil {
+		return nil, e
+	}
+	defer func() { _ = l.Close() }()
+	s, e := l.Status(c)
+	return &s, e
+}
+
+// probe sends requests to all daemons once all faults are over.
+func (f *Fleet) probe(c context.Context) {
+	for _, p := range f.processes {
+		if s, e := status(c, p); e != nil || s.Versions.Catalogue != f.evidence.Latest {
+			f.evidence.Behind = append(f.evidence.Behind, p.instance.ID)
+		}
+		h := &http.Client{Timeout: callTimeout}
+		for range probesEach {
+			f.evidence.Probes++
+			if r := f.send(c, h, p, http.MethodGet, readPath, "").Result; r == judge.Answered {
+				f.evidence.Answered++
+			}
+		}
+		h.CloseIdleConnections()
+	}
+}
+
+func (f *Fleet) ended(e error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.evidence.Ends = append(f.evidence.Ends, e.Error())
+}
--- /dev/null
+++ b/internal/soak/judge/away.go
@@ -0,0 +1,13 @@
+package judge
+
+import (
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// Away is a time in which a data centre was published as out of service.
+type Away struct {
+	DataCentre lavenderridge.DataCentreID
+	From, To   time.Time
+}
--- /dev/null
+++ b/internal/soak/judge/run.go
@@ -0,0 +1,16 @@
+package judge
+
+import (
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// A Run is one run of a request at a backend server.
+type Run struct {
+	Request    lavenderridge.RequestID
+	Key        lavenderridge.IdempotencyKey
+	Instance   lavenderridge.InstanceID
+	DataCentre lavenderridge.DataCentreID
+	Begun      time.Time
+}
--- /dev/null
+++ b/internal/soak/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan draws the faults of a soak from a seed.
+package plan
--- a/internal/standin/link/gate.go
+++ b/internal/standin/link/gate.go
@@ -1,16 +1,30 @@
 package link
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// A Direction is that of bytes through a link.
+type Direction int
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	FromTarget
+	directions
+)
 
 // gate decides which flows pass bytes. A flow belongs to the generation in
 // which it began.
 type gate struct {
 	generation atomic.Int64
-	cut        atomic.Bool
+	cut        [directions]atomic.Bool
+	delay      atomic.Int64
 }
 
-func (g *gate) passes(n int64) bool {
-	return !g.cut.Load() && n == g.generation.Load()
+func (g *gate) passes(n int64, d Direction) bool {
+	return !g.cut[d].Load() && n == g.generation.Load()
 }
 
 // Silence stops the bytes of all flows that exist now, for good. Flows that
@@ -21,5 +35,17 @@
 
 // Cut stops the bytes of all flows while o is set, later ones included.
 func (g *gate) Cut(o bool) {
-	g.cut.Store(o)
+	for d := range directions {
+		g.CutOneWay(d, o)
+	}
+}
+
+// CutOneWay is like Cut for the bytes of one direction.
+func (g *gate) CutOneWay(d Direction, o bool) {
+	g.cut[d].Store(o)
+}
+
+// Delay holds each part of what passes up for the time d.
+func (g *gate) Delay(d time.Duration) {
+	g.delay.Store(int64(d))
 }
