Admit large responses by what the machine's link carries

Seven machines with links of 15 Mbit/s carry about 130 downloads of 90 kB a second, as many as are asked for, while their slots would bear four times as many: nearly all are late then.

Ruled out: bodies held whole at the entry; slots; processor time.

The owner counts the bytes of responses that leave and those that running requests will bring, refuses a large one that the link would carry after its objective, and tells its backlog with its load, by which entries choose. The rate comes from the settings.

--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -35,6 +35,8 @@
 	defaultColdFactor  = 1.0
 	defaultColdSlack   = 0.0
 	maxColdFactor      = 10.0
+	maxLinkMegabits    = 1e6
+	megabit            = 1e6
 	maxColdSlack       = 1000.0
 	maxRatio           = 1.0
 	maxExtraRetries    = 100_000
@@ -142,6 +144,7 @@
 	}
 	d.Metrics = r.optionalAddress("Operator.Metrics")
 	d.StopDelay = r.duration("Limits.StopDelay", 0, 0, maxStopDelay)
+	d.Link = lavenderridge.BitRate(r.fraction("Limits.LinkMegabits", 0, maxLinkMegabits) * megabit)
 	d.ColdFactor = r.fraction("Backend.ColdFactor", defaultColdFactor, maxColdFactor)
 	d.ColdSlack = r.fraction("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
 	d.RetryRatio = lavenderridge.Ratio(r.fraction("Retries.Ratio", 0, maxRatio))
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -41,6 +41,8 @@
 	// ColdFactor and ColdSlack tell what a cold backend server is given in a
 	// second: its rate times the factor, and the slack in requests.
 	ColdFactor, ColdSlack float64
+	// Link is the rate of the machine's link; zero means that it is not known.
+	Link lavenderridge.BitRate
 	// RetryRatio and RetryExtra bound the retries of the whole fleet in a
 	// window: a part of the requests and a number beyond it. Zero for both
 	// stands for a budget of each daemon's own.
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -21,6 +21,12 @@
 	// failingRetryAfter is the wait that a refusal advises while the backend
 	// server fails many requests.
 	failingRetryAfter = 300 * time.Millisecond
+	// largeResponse is the size from which on a response waits for the others on
+	// a link; connections share it, so that small ones pass by.
+	largeResponse = 16 * lavenderridge.Kibibyte
+	// minLinkRetry is the least wait that a refusal for the link advises: what a
+	// response of 90 kB takes at 15 Mbit/s.
+	minLinkRetry = 50 * time.Millisecond
 )
 
 // listedCapacity takes what the backend server bears from the instance list in
@@ -28,7 +34,9 @@
 type listedCapacity struct {
 	factor    float64
 	slack     float64
-	latencies backendserver.LatencyBook
+	latencies backendserver.EntryBook[time.Duration]
+	sizes     backendserver.EntryBook[lavenderridge.ByteCount]
+	uplink    *backendserver.Uplink
 	// throttle lets in less of what the backend server fails.
 	throttle *backendserver.FailureThrottle
 	// effective is the service as this instance bears it.
@@ -45,10 +53,10 @@
 
 // WithListedCapacity makes the handler trust the slots and the cold start that
 // the instance list tells. A cold backend server gets in a second its rate
-// times f and s requests more.
-func WithListedCapacity(f, s float64) OwnerOption {
+// times f and s requests more. Its responses leave over a link of the rate r.
+func WithListedCapacity(f, s float64, r lavenderridge.BitRate) OwnerOption {
 	return func(h *OwnerHandler) {
-		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64)}
+		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64), uplink: backendserver.NewUplink(r)}
 		h.limiterOptions = append(h.limiterOptions, backendserver.WithFixedLimit())
 	}
 }
@@ -74,7 +82,7 @@
 	if h.listed == nil || r.Objective.IsZero() {
 		return r.Deadline
 	}
-	d := r.Objective.Add(h.limiter.Latency() - h.listed.latencies.Latency(r.Entry))
+	d := r.Objective.Add(h.limiter.Latency() - h.listed.latencies.Value(r.Entry))
 	if !r.Deadline.IsZero() && r.Deadline.Before(d) {
 		return r.Deadline
 	}
@@ -91,6 +99,9 @@
 	}
 	l := h.admission.Load(v)
 	l.Pace = h.pace.Value()
+	if h.listed != nil {
+		l.Backlog = h.listed.uplink.Backlog()
+	}
 	return l
 }
 
@@ -123,6 +134,50 @@
 	return nil
 }
 
+// reserve counts the response that the request r is expected to bring for the
+// daemon's link, and returns its size. It refuses r at the time t when the link
+// would carry the response too late for the objective, behind others.
+func (h *OwnerHandler) reserve(r *lavenderridge.Request, t time.Time) (lavenderridge.ByteCount, error) {
+	if h.listed == nil || h.local(r) {
+		return 0, nil
+	}
+	n, b := h.listed.sizes.Value(r.Entry), h.listed.uplink.Backlog()
+	h.listed.uplink.Add(n)
+	if n < largeResponse || r.Objective.IsZero() || b == 0 {
+		return n, nil
+	}
+	if w := t.Add(h.listed.latencies.Value(r.Entry) + h.listed.uplink.Backlog()).Sub(r.Objective); w > 0 {
+		h.listed.uplink.Sent(n)
+		return 0, h.notRun(lavenderridge.ReasonOverloaded, "the link would carry the response too late", max(minLinkRetry, min(w, b)))
+	}
+	return n, nil
+}
+
+// release replaces the expected size n of the response p, which is nil when there
+// is none, by its own.
+func (h *OwnerHandler) release(r *lavenderridge.Request, n lavenderridge.ByteCount, p *lavenderridge.Response) {
+	if h.listed == nil || h.local(r) {
+		return
+	}
+	if p != nil {
+		h.listed.uplink.Add(lavenderridge.ByteCount(len(p.Body)))
+	}
+	h.listed.uplink.Sent(n)
+}
+
+// local reports whether the response to r does not leave this machine.
+func (h *OwnerHandler) local(r *lavenderridge.Request) bool {
+	return r.Sender.Instance == h.self().Instance
+}
+
+// Sent takes in that a response with a body of n bytes has left for another
+// daemon, or will not.
+func (h *OwnerHandler) Sent(n lavenderridge.ByteCount) {
+	if h.listed != nil {
+		h.listed.uplink.Sent(n)
+	}
+}
+
 // busy reports whether a request that fails would take the place of another.
 func (h *OwnerHandler) busy(v *lavenderridge.Service, t time.Time) bool {
 	return float64(h.admission.InFlight()) >= busyPart*float64(v.Slots) || h.cold.Busy(h.listed.coldRate(v), t)
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -131,6 +131,17 @@
 	if e := h.admitListed(v, r, t); e != nil {
 		return nil, e
 	}
+	n, e := h.reserve(r, t)
+	if e != nil {
+		return nil, e
+	}
+	p, e := h.enterFreely(c, v, r, t)
+	h.release(r, n, p)
+	return p, e
+}
+
+// enterFreely runs a request once it has a slot.
+func (h *OwnerHandler) enterFreely(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
 	x, e := h.admission.EnterOrdered(v, r.Class, h.waitDeadline(r), r.Objective, t)
 	if e != nil {
 		return nil, h.placed(e)
@@ -158,7 +169,9 @@
 		}
 	}
 	defer func() { h.admission.LeaveAlone(h.clock.Now()) }()
-	return h.run(c, v, r, true)
+	p, e := h.run(c, v, r, true)
+	h.release(r, 0, p)
+	return p, e
 }
 
 // check returns the service of r, or a refusal if this daemon may not run r
@@ -257,6 +270,9 @@
 func (h *OwnerHandler) answered(r *lavenderridge.Request, p *lavenderridge.Response, v *lavenderridge.Service, d time.Duration, t time.Time) {
 	h.unreachable.Store(false)
 	h.learnPace(r, d)
+	if h.listed != nil {
+		h.listed.sizes.Learn(r.Entry, lavenderridge.ByteCount(len(p.Body)))
+	}
 	if h.listed != nil {
 		h.listed.throttle.Ended(r.Entry, p.Status < http.StatusInternalServerError, t)
 	}
--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -61,11 +61,19 @@
 
 func (b *BalancedRouter) choose(v *routeTable, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Duration) *target {
 	if b.paced {
-		return v.choosePaced(b.random, x, t, b.size(r.Entry))
+		return v.choosePaced(b.random, x, t, b.size(r.Entry), objective(r, b.start.Add(t)))
 	}
 	return v.choose(b.random, x, t)
 }
 
+// objective returns the time left at t until the objective of r, or zero.
+func objective(r *lavenderridge.Request, t time.Time) time.Duration {
+	if r.Objective.IsZero() {
+		return 0
+	}
+	return max(0, r.Objective.Sub(t))
+}
+
 // Answered implements lavenderridge.Tracker.
 func (b *BalancedRouter) Answered(d lavenderridge.ServiceID, i lavenderridge.InstanceID, e lavenderridge.EntryID, c int, n lavenderridge.ByteCount) {
 	if v := b.state(d, i); v != nil {
--- a/internal/policy/caller/pacedchoice.go
+++ b/internal/policy/caller/pacedchoice.go
@@ -42,6 +42,9 @@
 	byteCost = 0.0075
 	// overhead is what the protocol between daemons adds to a request.
 	overhead = 2 * lavenderridge.Kibibyte
+	// largeResponse is the size from which on a response waits for the others on
+	// the target's link.
+	largeResponse = 16 * lavenderridge.Kibibyte
 	// jitter spreads the choices of many daemons between targets that cost
 	// nearly the same.
 	jitter = 0.08
@@ -50,8 +53,9 @@
 )
 
 // choosePaced returns the target outside x with the least cost for a request of
-// n bytes with its response, else the one whose exclusion ends first.
-func (v *routeTable) choosePaced(r func(int) int, x []lavenderridge.InstanceID, t time.Duration, n lavenderridge.ByteCount) *target {
+// n bytes with its response and the time o left until its objective, else the
+// one whose exclusion ends first.
+func (v *routeTable) choosePaced(r func(int) int, x []lavenderridge.InstanceID, t time.Duration, n lavenderridge.ByteCount, o time.Duration) *target {
 	a := v.meanPace()
 	var m *target
 	b := math.Inf(1)
@@ -62,7 +66,7 @@
 			if !k.usable(t) || slices.Contains(x, k.instance.ID) {
 				continue
 			}
-			c := k.expected(a, t)*(1+jitter*float64(r(jitterSteps))/jitterSteps) + e
+			c := k.expected(a, t, n, o)*(1+jitter*float64(r(jitterSteps))/jitterSteps) + e
 			if c < b {
 				m, b = k, c
 			}
@@ -109,7 +113,9 @@
 // expected returns the part of requests that the target is expected to answer
 // late or not, where the mean pace of its service is a. Requests take times that
 // spread widely, so that a pace of half an objective makes few of them late.
-func (n *targetState) expected(a float64, t time.Duration) float64 {
+//
+// A large response also waits for those that leave over the target's link.
+func (n *targetState) expected(a float64, t time.Duration, b lavenderridge.ByteCount, o time.Duration) float64 {
 	p := math.Float64frombits(n.pace.Load())
 	if p <= 0 {
 		p = a
@@ -119,6 +125,10 @@
 	l := n.cost(t)
 	f := math.Float64frombits(n.failing.Load()) * k
 	p *= 1 + loadSlowdown*min(l, 1) + queueCost*max(0, l-queueFrom)
+	if o > 0 && b >= largeResponse {
+		w := float64(n.backlog.Load()) - float64(t-time.Duration(n.reportedAt.Load()))
+		p += max(0, w) / float64(o)
+	}
 	return lateShare*math.Pow(p, lateExponent) + failureCost*f
 }
 
--- a/internal/policy/caller/target.go
+++ b/internal/policy/caller/target.go
@@ -45,6 +45,8 @@
 	// pace and failing are the bits of floating-point numbers: the reported pace
 	// and the part of responses that tell of a failure.
 	pace, failing atomic.Uint64
+	// backlog is the reported time that responses wait for the target's link.
+	backlog atomic.Int64
 	// excludedUntil ends the time in which the target gets no new work.
 	excludedUntil atomic.Int64
 	// failures counts the attempts that failed without a success between them.
@@ -99,6 +101,7 @@
 	o := max(int64(l.InFlight)+int64(l.Queued)-k, 0)
 	n.reported.Store(uint64(min(o, loadMask))<<loadBits | uint64(min(l.Limit, loadMask)))
 	n.reportedAt.Store(int64(t))
+	n.backlog.Store(int64(l.Backlog))
 	if l.Pace > 0 {
 		n.pace.Store(math.Float64bits(float64(l.Pace)))
 	}
--- a/internal/transport/peerhttp/bench_test.go
+++ b/internal/transport/peerhttp/bench_test.go
@@ -29,7 +29,7 @@
 	}
 	c, f := context.WithCancel(context.Background())
 	b.Cleanup(f)
-	go func() { _ = NewServer(p[1], &slowPeer{}).Serve(c) }()
+	go func() { _ = NewServer(p[1], &slowPeer{}, func(lavenderridge.ByteCount) {}).Serve(c) }()
 	return p[0], p[1]
 }
 
--- a/internal/transport/peerhttp/message.go
+++ b/internal/transport/peerhttp/message.go
@@ -66,6 +66,7 @@
 	Queued   lavenderridge.Slots
 	Limit    lavenderridge.Slots
 	Pace     lavenderridge.Ratio
+	Backlog  time.Duration
 }
 
 // wireRefusal is the form of a refusal in a reply.
@@ -112,7 +113,7 @@
 func newWireResponse(p *lavenderridge.Response) *wireResponse {
 	return &wireResponse{
 		ID: p.ID, Attempt: p.Attempt, Status: p.Status, Header: p.Header, Body: p.Body,
-		Load:       wireLoad{InFlight: p.Load.InFlight, Queued: p.Load.Queued, Limit: p.Load.Limit, Pace: p.Load.Pace},
+		Load:       wireLoad{InFlight: p.Load.InFlight, Queued: p.Load.Queued, Limit: p.Load.Limit, Pace: p.Load.Pace, Backlog: p.Load.Backlog},
 		DataCentre: p.Sender.DataCentre, Incarnation: p.Sender.Incarnation, Versions: newWireVersions(p.Sender.Stamps),
 	}
 }
@@ -121,7 +122,7 @@
 func (w *wireResponse) response(n lavenderridge.InstanceID) *lavenderridge.Response {
 	return &lavenderridge.Response{
 		ID: w.ID, Attempt: w.Attempt, Status: w.Status, Header: w.Header, Body: w.Body,
-		Load:   lavenderridge.Load{InFlight: w.Load.InFlight, Queued: w.Load.Queued, Limit: w.Load.Limit, Pace: w.Load.Pace},
+		Load:   lavenderridge.Load{InFlight: w.Load.InFlight, Queued: w.Load.Queued, Limit: w.Load.Limit, Pace: w.Load.Pace, Backlog: w.Load.Backlog},
 		Sender: lavenderridge.Sender{Instance: n, DataCentre: w.DataCentre, Incarnation: w.Incarnation, Stamps: w.Versions.stamps()},
 	}
 }
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -28,11 +28,15 @@
 	http      *kratoshttp.Server
 	stopper   *plainhttp.Stopper
 	activity  activity
+	// sent is told of each response that has been written.
+	sent func(lavenderridge.ByteCount)
 }
 
-// NewServer returns a server that passes the calls on t to the peer p.
-func NewServer(t *Transport, p lavenderridge.Peer) *Server {
-	s := &Server{transport: t, peer: p}
+// NewServer returns a server that passes the calls on t to the peer p. It calls f
+// with the size of the body of each response that p has given, once that was
+// written or can't be.
+func NewServer(t *Transport, p lavenderridge.Peer, f func(lavenderridge.ByteCount)) *Server {
+	s := &Server{transport: t, peer: p, sent: f}
 	s.http = kratoshttp.NewServer(
 		kratoshttp.Listener(t.listener),
 		kratoshttp.Address(string(t.Address())),
@@ -41,7 +45,9 @@
 		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	)
 	s.stopper = plainhttp.NewStopper(s.http)
-	s.http.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	s.http.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTimeout, PingTimeout: dialTimeout, WriteByteTimeout: writeTimeout,
+	}
 	s.http.ReadHeaderTimeout = dialTimeout
 	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
 	return s
@@ -90,8 +96,6 @@
 
 // serve answers one call. A call that did not arrive whole gets no reply.
 func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
-	s.activity.begin()
-	defer s.activity.end()
 	i, e := s.transport.keys.Verify(*q.TLS)
 	if e != nil {
 		w.WriteHeader(http.StatusForbidden)
@@ -101,7 +105,11 @@
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
-	p, e := s.answer(q.Context(), b, i)
+	// A call counts once it is whole: one on a silent connection never will be.
+	s.activity.begin()
+	defer s.activity.end()
+	p, n, e := s.answer(q.Context(), b, i)
+	defer func() { s.sent(n) }()
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -112,13 +120,20 @@
 	_, _ = w.Write(p)
 }
 
-// answer returns the reply to the message b of the daemon i.
-func (s *Server) answer(c context.Context, b []byte, i peertls.Identity) ([]byte, error) {
+// answer returns the reply to the message b of the daemon i, and the size of the
+// body of the response in it.
+func (s *Server) answer(c context.Context, b []byte, i peertls.Identity) ([]byte, lavenderridge.ByteCount, error) {
 	v, e := s.dispatch(c, kind(b[0]), b[1:], i)
 	if e != nil {
-		return encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
+		p, e := encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
+		return p, 0, e
+	}
+	var n lavenderridge.ByteCount
+	if w, o := v.(*wireResponse); o {
+		n = lavenderridge.ByteCount(len(w.Body))
 	}
-	return encode(byte(statusReply), v)
+	p, e := encode(byte(statusReply), v)
+	return p, n, e
 }
 
 func (s *Server) dispatch(c context.Context, k kind, b []byte, i peertls.Identity) (any, error) {
--- a/internal/transport/peerhttp/session_test.go
+++ b/internal/transport/peerhttp/session_test.go
@@ -103,7 +103,7 @@
 	var c context.Context
 	c, s.stop = context.WithCancel(context.Background())
 	s.server, s.served = t, make(chan error, 1)
-	s.answering = NewServer(t, &s.peer)
+	s.answering = NewServer(t, &s.peer, func(lavenderridge.ByteCount) {})
 	f, h := s.served, s.answering
 	go func() { f <- h.Serve(c) }()
 }
@@ -270,7 +270,7 @@
 		}
 		c, f := context.WithTimeout(context.Background(), time.Millisecond)
 		defer f()
-		p, e := s.answer(c, b, peertls.Identity{Instance: "a"})
+		p, _, e := s.answer(c, b, peertls.Identity{Instance: "a"})
 		if e != nil || len(p) == 0 {
 			t.Fatalf("no reply: %v", e)
 		}
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -28,8 +28,11 @@
 	// redialTimeout bounds a dial that follows a failed one.
 	redialTimeout = 300 * time.Millisecond
 	idleTimeout   = 30 * time.Second
-	maxDials      = 64
-	maxStreams    = 1024
+	// writeTimeout is how long a connection may take no byte before it is closed:
+	// longer than most outages of links, well below the stop timeouts.
+	writeTimeout = 2 * time.Second
+	maxDials     = 64
+	maxStreams   = 1024
 	// remoteAlert is the operation of errors by which the TLS library tells of
 	// an alert of the peer.
 	remoteAlert = "remote error"
@@ -63,7 +66,7 @@
 		return nil, fmt.Errorf("peerhttp: %w", e)
 	}
 	t := &Transport{
-		http:       &http2.Transport{DisableCompression: true, IdleConnTimeout: idleTimeout},
+		http:       &http2.Transport{DisableCompression: true, IdleConnTimeout: idleTimeout, WriteByteTimeout: writeTimeout},
 		keys:       k,
 		maxMessage: defaultMaxMessage, silence: defaultSilence, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
--- a/internal/transport/peerhttp/truncated_test.go
+++ b/internal/transport/peerhttp/truncated_test.go
@@ -26,7 +26,7 @@
 				t.Fatal(e)
 			}
 			defer func() { _ = u.Close() }()
-			h := NewServer(u, &s.peer)
+			h := NewServer(u, &s.peer, func(lavenderridge.ByteCount) {})
 			h.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { answerHalf(t, w, q, c.end) })
 			d := make(chan error, 1)
 			x, f := context.WithTimeout(context.Background(), 2*time.Second)
--- a/load.go
+++ b/load.go
@@ -1,5 +1,7 @@
 package lavenderridge
 
+import "time"
+
 // A Load is what a backend server bears at one moment, as its daemon counts.
 type Load struct {
 	InFlight Slots
@@ -9,4 +11,7 @@
 	// Pace is the recent time of requests there, as a part of the objectives of
 	// their entries; zero tells that it is not known.
 	Pace Ratio
+	// Backlog is the time that the responses which are to leave take on the
+	// target's link; zero where its rate is not known.
+	Backlog time.Duration
 }
