--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -71,16 +72,18 @@
 		}
 		return p.start(f.binary)
 	case plan.Pause:
+		y := p.young()
 		if e := p.signal(syscall.SIGSTOP); e != nil {
 			return e
 		}
 		e := lavenderridge.Sleep(c, s.For)
-		if x := p.signal(syscall.SIGCONT); x != nil {
-			return x
+		if y {
+			// A paused process comes no further with its start.
+			p.started = time.Now()
 		}
-		return e
+		return errors.Join(e, p.signal(syscall.SIGCONT))
 	case plan.Reload:
-		if time.Since(p.started) < startTime {
+		if p.young() {
 			return nil
 		}
 		return p.signal(syscall.SIGHUP)
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -64,6 +64,11 @@
 	return nil
 }
 
+// young reports whether the process may not handle signals yet.
+func (p *process) young() bool {
+	return time.Since(p.started) < startTime
+}
+
 // signal sends s to the process.
 func (p *process) signal(s syscall.Signal) error {
 	if e := p.command.Process.Signal(s); e != nil && !errors.Is(e, os.ErrProcessDone) {
@@ -75,7 +80,7 @@
 // stop ends the process by SIGTERM, or with an error when that takes too long:
 // by SIGQUIT then, which leaves the stacks of its goroutines in its log.
 func (p *process) stop() error {
-	y := time.Since(p.started) < startTime
+	y := p.young()
 	if e := p.signal(syscall.SIGTERM); e != nil {
 		return e
 	}
