End a stop beside daemons that go on sending

Ruled out: requests inside (DrainEnded came at once). The wait is bounded by the time for which an entry leaves out a daemon that refused.

--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -73,7 +73,10 @@
 		return e
 	}
 	p.owner.Leave()
-	c, f := context.WithTimeout(c, d.config.StopTimeout)
+	x, f := context.WithTimeout(c, d.config.StopTimeout)
 	defer f()
-	return p.owner.Drain(c)
+	if e := p.owner.Drain(x); e != nil {
+		return e
+	}
+	return p.owner.Quiet(c)
 }
--- a/internal/daemon/backendserver/stop.go
+++ b/internal/daemon/backendserver/stop.go
@@ -7,8 +7,13 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// quietTime is how long no request may have come before the daemon ends.
-const quietTime = 300 * time.Millisecond
+const (
+	// quietTime is how long no request may have come before the daemon ends.
+	quietTime = 300 * time.Millisecond
+	// maxQuietWait bounds the wait for that: the time for which a daemon that was
+	// refused leaves this one out.
+	maxQuietWait = time.Second
+)
 
 // Leave makes the handler refuse new requests; those inside run to their end.
 func (h *OwnerHandler) Leave() {
@@ -18,24 +23,28 @@
 	h.record("DrainStarted", "the daemon stops", t)
 }
 
-// Drain returns once no request is inside and none has come for a while, so
-// that other daemons have heard and none is on its way; or when c ends.
+// Drain returns once no request is inside, or with an error when c ends.
 func (h *OwnerHandler) Drain(c context.Context) error {
 	if e := h.drain.Wait(c); e != nil {
 		return e
 	}
 	h.record("DrainEnded", "no request is in flight", h.clock.Now())
+	return nil
+}
+
+// Quiet returns once no request has come for a while, so that other daemons have
+// heard of the stop and none is on its way; or with an error when c ends. Daemons
+// that go on sending hold it up for maxQuietWait at most.
+func (h *OwnerHandler) Quiet(c context.Context) error {
+	t := h.clock.Now()
 	for {
-		d := quietTime - h.clock.Now().Sub(time.Unix(0, h.lastRefused.Load()))
+		n := h.clock.Now()
+		d := min(quietTime-n.Sub(time.Unix(0, h.lastRefused.Load())), maxQuietWait-n.Sub(t))
 		if d <= 0 {
 			return nil
 		}
-		k := time.NewTimer(d)
-		select {
-		case <-k.C:
-		case <-c.Done():
-			k.Stop()
-			return c.Err()
+		if e := lavenderridge.Sleep(c, d); e != nil {
+			return e
 		}
 	}
 }
--- /dev/null
+++ b/internal/daemon/backendserver/stop_test.go
@@ -0,0 +1,37 @@
+package backendserver_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
+)
+
+// TestDrainBesideCalls checks that daemons which go on sending requests hold up
+// a stop for a bounded time and are no failure of it.
+func TestDrainBesideCalls(t *testing.T) {
+	s := &session{}
+	h := backendserver.NewOwnerHandler(s, func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a"} }, bodyServer(1))
+	h.Leave()
+	c, f := context.WithTimeout(t.Context(), 5*time.Second)
+	defer f()
+	go func() {
+		for lavenderridge.Sleep(c, 50*time.Millisecond) == nil {
+			if _, e := h.Handle(c, &lavenderridge.Request{ID: "r", Target: "a"}); e == nil {
+				t.Error("answered after the stop began")
+			}
+		}
+	}()
+	b := time.Now()
+	if e := h.Drain(c); e != nil {
+		t.Error(e)
+	}
+	if e := h.Quiet(c); e != nil {
+		t.Error(e)
+	}
+	if d := time.Since(b); d > 2*time.Second {
+		t.Errorf("the stop took %s", d)
+	}
+}
