--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -92,12 +92,13 @@
 		return nil, e
 	}
 	var l lavenderridge.InstanceList
+	m := map[int]bool{}
 	for i := range p.Daemons {
 		n := lavenderridge.Instance{
 			ID: lavenderridge.InstanceID(fmt.Sprintf("n-%02d", i)), DataCentre: centre(i % p.Centres),
 			Service: service, State: lavenderridge.InstanceLive,
 		}
-		v, e := newProcess(c, d, n, a, lavenderridge.Address(strings.TrimPrefix(f.http.URL, "http://")))
+		v, e := newProcess(c, d, n, a, m, lavenderridge.Address(strings.TrimPrefix(f.http.URL, "http://")))
 		if e != nil {
 			return nil, e
 		}
@@ -142,10 +143,17 @@
 	return nil
 }
 
-func freeAddress() (lavenderridge.Address, error) {
-	var x error
+// freeAddress returns an address that nothing listens on and that is not among
+// those in m, and adds it there.
+func freeAddress(m map[int]bool) (lavenderridge.Address, error) {
+	x := errors.New("all are taken")
 	for range portTries {
-		a := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.N(highestPort-lowestPort))
+		p := lowestPort + rand.N(highestPort-lowestPort)
+		if m[p] {
+			continue
+		}
+		m[p] = true
+		a := fmt.Sprintf("127.0.0.1:%d", p)
 		l, e := net.Listen("tcp", a)
 		if e == nil {
 			return lavenderridge.Address(a), l.Close()
--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -109,8 +109,9 @@
 	return e
 }
 
-// newProcess prepares a daemon of the instance n, with its files in the folder d.
-func newProcess(c context.Context, d string, n lavenderridge.Instance, a *peertls.Authority, s lavenderridge.Address) (*process, error) {
+// newProcess prepares a daemon of the instance n, with its files in the folder d
+// and ports that are not in m.
+func newProcess(c context.Context, d string, n lavenderridge.Instance, a *peertls.Authority, m map[int]bool, s lavenderridge.Address) (*process, error) {
 	p := &process{instance: n, links: map[plan.Link]*link.TCP{}, log: filepath.Join(d, string(n.ID)+".log")}
 	p.backend = backendserver.NewServer(n.ID, slots, serviceTime)
 	if e := p.backend.Start(); e != nil {
@@ -119,7 +120,7 @@
 	var l [3]lavenderridge.Address
 	for i := range l {
 		var e error
-		if l[i], e = freeAddress(); e != nil {
+		if l[i], e = freeAddress(m); e != nil {
 			return nil, e
 		}
 	}
