Give no port twice, and keep the soak's seeds as tests

One picker of ports serves the mesh, the soak, the measurements and the tests; measure convergence failed with 'address already in use' when an outgoing connection had taken a port that a daemon was to use again.

--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderridge/lavenderridge/internal/soak/plan"
 	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/standin/link"
+	"github.com/lavenderridge/lavenderridge/internal/standin/port"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -110,8 +111,8 @@
 }
 
 // newProcess prepares a daemon of the instance n, with its files in the folder d
-// and ports that are not in m.
-func newProcess(c context.Context, d string, n lavenderridge.Instance, a *peertls.Authority, m map[int]bool, s lavenderridge.Address) (*process, error) {
+// and addresses from m.
+func newProcess(c context.Context, d string, n lavenderridge.Instance, a *peertls.Authority, m *port.Picker, s lavenderridge.Address) (*process, error) {
 	p := &process{instance: n, links: map[plan.Link]*link.TCP{}, log: filepath.Join(d, string(n.ID)+".log")}
 	p.backend = backendserver.NewServer(n.ID, slots, serviceTime)
 	if e := p.backend.Start(); e != nil {
@@ -120,7 +121,7 @@
 	var l [3]lavenderridge.Address
 	for i := range l {
 		var e error
-		if l[i], e = freeAddress(m); e != nil {
+		if l[i], e = m.Free(); e != nil {
 			return nil, e
 		}
 	}
--- /dev/null
+++ b/internal/soak/judge/judge_test.go
@@ -0,0 +1,28 @@
+package judge
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestJudge shows what is found in evidence that the files give as JSON.
+func TestJudge(t *testing.T) {
+	datadriven.RunTest(t, "testdata/judge", func(t *testing.T, d *datadriven.TestData) string {
+		var v Evidence
+		if e := json.Unmarshal([]byte(d.Input), &v); e != nil {
+			t.Fatal(e)
+		}
+		var b strings.Builder
+		for _, f := range Judge(&v) {
+			_, _ = fmt.Fprintln(&b, f)
+		}
+		if b.Len() == 0 {
+			return "nothing\n"
+		}
+		return b.String()
+	})
+}
--- /dev/null
+++ b/internal/soak/plan/plan_test.go
@@ -0,0 +1,23 @@
+package plan
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestPlan shows the plans of seeds: a seed gives the same faults each time.
+func TestPlan(t *testing.T) {
+	datadriven.RunTest(t, "testdata/plans", func(t *testing.T, d *datadriven.TestData) string {
+		var s uint64
+		d.ScanArgs(t, "seed", &s)
+		var b strings.Builder
+		for _, v := range NewPlan(s, 4, 2, 2*time.Second).Steps {
+			_, _ = fmt.Fprintln(&b, v)
+		}
+		return b.String()
+	})
+}
