--- a/internal/soak/fleet/process.go
+++ b/internal/soak/fleet/process.go
@@ -42,7 +42,9 @@
 	// one such fault at a time befalls it.
 	mutex   sync.Mutex
 	command *exec.Cmd
-	done    chan error
+	// done is closed once the process has ended, as exit tells.
+	done    chan struct{}
+	exit    error
 	started time.Time
 }
 
@@ -57,10 +59,10 @@
 	if e := k.Start(); e != nil {
 		return errors.Join(fmt.Errorf("fleet: %w", e), f.Close())
 	}
-	p.command, p.done, p.started = k, make(chan error, 1), time.Now()
+	p.command, p.done, p.started = k, make(chan struct{}), time.Now()
 	go func() {
-		d := k.Wait()
-		p.done <- errors.Join(d, f.Close())
+		defer close(p.done)
+		p.exit = errors.Join(k.Wait(), f.Close())
 	}()
 	return nil
 }
@@ -88,11 +90,11 @@
 	t := time.NewTimer(stopBound)
 	defer t.Stop()
 	select {
-	case e := <-p.done:
-		if e == nil || y {
+	case <-p.done:
+		if p.exit == nil || y {
 			return nil
 		}
-		return fmt.Errorf("%s: %w", p.instance.ID, e)
+		return fmt.Errorf("%s: %w", p.instance.ID, p.exit)
 	case <-t.C:
 		return errors.Join(fmt.Errorf("%s: still there %s after SIGTERM", p.instance.ID, stopBound), p.end(syscall.SIGQUIT))
 	}
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -18,21 +18,29 @@
 )
 
 const (
+	// defaultMaxMessage holds the longest documents and most responses.
 	defaultMaxMessage = 8 * lavenderridge.Mebibyte
-	defaultSilence    = 150 * time.Millisecond
+	// defaultSilence is above the time of most requests, so that few are probed.
+	defaultSilence = 150 * time.Millisecond
 
+	// dialTimeout bounds a dial with its handshake and ping, many times the
+	// longest round trip between regions (100 ms, assumed).
 	dialTimeout = time.Second
 	// connectPatience bounds how long a call waits for a connection: several
 	// times what a handshake takes on a slow processor. The dial goes on.
 	connectPatience = 200 * time.Millisecond
 	// redialTimeout bounds a dial that follows a failed one.
 	redialTimeout = 300 * time.Millisecond
-	idleTimeout   = 30 * time.Second
+	// idleTimeout closes unused connections; neighbours exchange every second.
+	idleTimeout = 30 * time.Second
 	// writeTimeout is how long a connection may take no byte before it is closed:
 	// longer than most outages of links, well below the stop timeouts.
 	writeTimeout = 2 * time.Second
-	maxDials     = 64
-	maxStreams   = 1024
+	// maxDials bounds the handshakes at once in a herd restart.
+	maxDials = 64
+	// maxStreams bounds the running calls of one daemon at another: far above the
+	// slots of a backend server and the requests that wait for them.
+	maxStreams = 1024
 	// remoteAlert is the operation of errors by which the TLS library tells of
 	// an alert of the peer.
 	remoteAlert = "remote error"
