Tell a refused certificate from a broken connection

Ruled out: the check's expectation; the server counted each refusal. A failed write now also tells what the peer has said last.

--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -155,11 +155,12 @@
 	if e := v.HandshakeContext(c); e != nil {
 		return nil, errors.Join(e, s.Close())
 	}
-	n := &connection{}
+	n := newConnection()
 	if n.http, e = t.http.NewClientConn(&heardConn{Conn: v, connection: n, now: t.now}); e != nil {
 		return nil, errors.Join(e, s.Close())
 	}
 	if e := n.http.Ping(c); e != nil {
+		e = n.reason(c, e)
 		return nil, errors.Join(e, n.http.Close())
 	}
 	return n, nil
