Keep one size of a large response for owners and entries

Found on a last read: the size from which on a response waits for others on a link stood in the owner's handler and in the router's choice, and the two must agree. It is a constant of the root package beside the load's backlog.

--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -21,9 +21,6 @@
 	// failingRetryAfter is the wait that a refusal advises while the backend
 	// server fails many requests.
 	failingRetryAfter = 300 * time.Millisecond
-	// largeResponse is the size from which on a response waits for the others on
-	// a link; connections share it, so that small ones pass by.
-	largeResponse = 16 * lavenderridge.Kibibyte
 	// minLinkRetry is the least wait that a refusal for the link advises: what a
 	// response of 90 kB takes at 15 Mbit/s.
 	minLinkRetry = 50 * time.Millisecond
@@ -143,7 +140,7 @@
 	}
 	n, b := h.listed.sizes.Value(r.Entry), h.listed.uplink.Backlog()
 	h.listed.uplink.Add(n)
-	if n < largeResponse || r.Objective.IsZero() || b == 0 {
+	if n < lavenderridge.LargeResponse || r.Objective.IsZero() || b == 0 {
 		return n, nil
 	}
 	if w := t.Add(h.listed.latencies.Value(r.Entry) + h.listed.uplink.Backlog()).Sub(r.Objective); w > 0 {
--- a/internal/policy/caller/pacedchoice.go
+++ b/internal/policy/caller/pacedchoice.go
@@ -42,9 +42,6 @@
 	byteCost = 0.0075
 	// overhead is what the protocol between daemons adds to a request.
 	overhead = 2 * lavenderridge.Kibibyte
-	// largeResponse is the size from which on a response waits for the others on
-	// the target's link.
-	largeResponse = 16 * lavenderridge.Kibibyte
 	// jitter spreads the choices of many daemons between targets that cost
 	// nearly the same.
 	jitter = 0.08
@@ -125,7 +122,7 @@
 	l := n.cost(t)
 	f := math.Float64frombits(n.failing.Load()) * k
 	p *= 1 + loadSlowdown*min(l, 1) + queueCost*max(0, l-queueFrom)
-	if o > 0 && b >= largeResponse {
+	if o > 0 && b >= lavenderridge.LargeResponse {
 		w := float64(n.backlog.Load()) - float64(t-time.Duration(n.reportedAt.Load()))
 		p += max(0, w) / float64(o)
 	}
--- a/load.go
+++ b/load.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// LargeResponse is the size from which on a response waits for the others on a
+// link. Connections share the link, so that smaller ones pass by.
+const LargeResponse = 16 * Kibibyte
+
 // A Load is what a backend server bears at one moment, as its daemon counts.
 type Load struct {
 	InFlight Slots
