Log how long a catalogue is read or pulled, and its size

The logs told when a version came into force and from whom, but not whether it was late because the store's response took long, because a pull did, or because it waited: the hypotheses in docs/incidents/2026-12-04-configuration.md could not be told apart.

Each call that returns a catalogue now logs its versions, bytes and time, and each pull its document, sizes and time; a failed pull no longer passes without a line. FactPage has the size of its response.

--- a/factpage.go
+++ b/factpage.go
@@ -8,4 +8,6 @@
 	More bool
 	// AsOf is the revision of the source that the page reflects.
 	AsOf Revision
+	// Size is the size of the response, or zero if the source does not know it.
+	Size ByteCount
 }
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -115,12 +115,11 @@
 			return e
 		}
 	} else {
-		p, e := f.source.Watch(c, f.mirror.AsOf(), w)
+		p, e := f.watch(c, w)
 		if errors.Is(e, lavenderridge.ErrHistoryLost) {
 			f.log.Warn("SourceHistoryLost", zap.Uint64("Revision", uint64(f.mirror.AsOf())))
 			e = f.list(c)
 		} else if e == nil {
-			f.logUnreadable(p)
 			f.mirror.ApplyChanges(p, f.clock.Now())
 		}
 		if e != nil {
@@ -143,11 +142,12 @@
 	var r lavenderridge.Revision
 	var k lavenderridge.FactKey
 	for i := range maxPages {
+		t := f.clock.Now()
 		p, e := f.source.List(c, k)
 		if e != nil {
 			return e
 		}
-		f.logUnreadable(p)
+		f.logPage("list", p, t)
 		a = append(a, p.Facts...)
 		if i == 0 {
 			r = p.AsOf
@@ -167,21 +167,39 @@
 	if !o {
 		return nil
 	}
-	p, e := f.source.Watch(c, f.mirror.AsOf(), 0)
-	if e != nil {
-		return e
+	p, e := f.watch(c, 0)
+	if e == nil {
+		f.mirror.ApplyChanges(p, f.clock.Now())
 	}
-	f.logUnreadable(p)
-	f.mirror.ApplyChanges(p, f.clock.Now())
-	return nil
+	return e
 }
 
-// logUnreadable logs the facts that could not be parsed.
-func (f *Follower) logUnreadable(p *lavenderridge.FactPage) {
+// watch returns the changes since the mirror's revision, for which it waits up to
+// w.
+func (f *Follower) watch(c context.Context, w time.Duration) (*lavenderridge.FactPage, error) {
+	t := f.clock.Now()
+	p, e := f.source.Watch(c, f.mirror.AsOf(), w)
+	if e == nil {
+		f.logPage("watch", p, t)
+	}
+	return p, e
+}
+
+// logPage logs the facts of p that could not be parsed. If p includes catalogues, it
+// also logs the call n, made at the time t, that returned them.
+func (f *Follower) logPage(n string, p *lavenderridge.FactPage, t time.Time) {
+	var a []uint64
 	for _, v := range p.Facts {
 		if len(v.Findings) > 0 {
 			f.log.Warn("FactRejected", zap.String("Key", string(v.Key)), zap.Uint64("Revision", uint64(v.Revision)), zap.Error(v.Findings))
 		}
+		if v.Catalogue != nil {
+			a = append(a, uint64(v.Catalogue.Version))
+		}
+	}
+	if len(a) > 0 {
+		f.log.Info("CatalogueRead", zap.String("Call", n), zap.Uint64s("Versions", a), zap.Int("Facts", len(p.Facts)), zap.Uint64("Revision", uint64(p.AsOf)),
+			zap.Int64("Bytes", int64(p.Size)), zap.Int64("LatencyMicroseconds", f.clock.Now().Sub(t).Microseconds()))
 	}
 }
 
--- a/internal/daemon/peer/gossiperpull.go
+++ b/internal/daemon/peer/gossiperpull.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 )
@@ -71,10 +73,15 @@
 func (s *Gossiper) fetch(c context.Context, v *lavenderridge.Instance, d lavenderridge.DocumentName, h lavenderridge.Stamp) (*lavenderridge.PullReply, error) {
 	c, f := context.WithTimeout(c, pullTimeout)
 	defer f()
+	t := s.clock.Now()
 	p, e := s.dialer.Dial(v).Pull(c, &lavenderridge.PullRequest{Sender: s.sender(), Name: d, Have: h})
+	l := []zap.Field{zap.String("Document", string(d)), zap.String("Origin", string(v.ID)), zap.Int64("LatencyMicroseconds", s.clock.Now().Sub(t).Microseconds())}
 	if e != nil {
+		s.log.Warn("PullFailed", append(l, zap.Error(e))...)
 		return nil, e
 	}
+	s.log.Info("DocumentPulled", append(l, zap.Uint64("Version", uint64(p.Stamp.Version)), zap.Bool("Busy", p.Busy),
+		zap.Int("WholeBytes", len(p.Whole)), zap.Int("DeltaBytes", len(p.Delta)))...)
 	s.pullScheduler.MessageReceived(p.Sender, s.versions())
 	return p, nil
 }
