List the facts when the changes since the last call are too large to read

Cause: a watch returns every version since its revision. The client cut a response at 4 MiB and failed to decode it; the follower repeated the watch from the same revision, with more to read each time, until the source dropped its history after 20 s. It happened after an outage in which changes went on, and without one when a small link carries fewer versions than a storm publishes.

Watch returns ErrTooManyChanges, from the Content-Length where there is one, and the follower lists.

--- a/factpage.go
+++ b/factpage.go
@@ -8,6 +8,9 @@
 	More bool
 	// AsOf is the revision of the source that the page reflects.
 	AsOf Revision
+	// Superseded is the number of catalogues that a batch of changes leaves out,
+	// because it contains a later one.
+	Superseded int
 	// Size is the size of the response, or zero if the source does not know it.
 	Size ByteCount
 }
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -106,25 +106,11 @@
 }
 
 // readSource makes one complete listing or one watch that waits for w, and offers
-// the documents that result. If the source no longer has the changes since the
-// mirror's revision, it lists the facts again.
+// the documents that result.
 func (f *Follower) readSource(c context.Context, w time.Duration) error {
 	b := f.gate.Epoch()
-	if f.mirror.AsOf() == 0 {
-		if e := f.list(c); e != nil {
-			return e
-		}
-	} else {
-		p, e := f.watch(c, w)
-		if errors.Is(e, lavenderridge.ErrHistoryLost) {
-			f.log.Warn("SourceHistoryLost", zap.Uint64("Revision", uint64(f.mirror.AsOf())))
-			e = f.list(c)
-		} else if e == nil {
-			f.mirror.ApplyChanges(p, f.clock.Now())
-		}
-		if e != nil {
-			return e
-		}
+	if e := f.readChanges(c, w); e != nil {
+		return e
 	}
 	f.publish()
 	t := f.clock.Now()
@@ -135,6 +121,25 @@
 	return nil
 }
 
+// readChanges brings the mirror up to date by a watch that waits for w. It lists the
+// facts before the first watch, and when the changes since the mirror's revision are
+// lost or too large.
+func (f *Follower) readChanges(c context.Context, w time.Duration) error {
+	if f.mirror.AsOf() == 0 {
+		return f.list(c)
+	}
+	e := f.watch(c, w)
+	switch {
+	case errors.Is(e, lavenderridge.ErrHistoryLost):
+		f.log.Warn("SourceHistoryLost", zap.Uint64("Revision", uint64(f.mirror.AsOf())))
+	case errors.Is(e, lavenderridge.ErrTooManyChanges):
+		f.log.Warn("SourceHistoryTooLarge", zap.Uint64("Revision", uint64(f.mirror.AsOf())))
+	default:
+		return e
+	}
+	return f.list(c)
+}
+
 // list reads all pages of a listing into the mirror. The pages may have different
 // revisions; applying the changes since the first page makes them consistent.
 func (f *Follower) list(c context.Context) error {
@@ -167,40 +172,33 @@
 	if !o {
 		return nil
 	}
-	p, e := f.watch(c, 0)
-	if e == nil {
-		f.mirror.ApplyChanges(p, f.clock.Now())
-	}
-	return e
+	return f.watch(c, 0)
 }
 
-// watch returns the changes since the mirror's revision, for which it waits up to
-// w.
-func (f *Follower) watch(c context.Context, w time.Duration) (*lavenderridge.FactPage, error) {
+// watch applies the changes since the mirror's revision, for which it waits up to w.
+func (f *Follower) watch(c context.Context, w time.Duration) error {
 	t := f.clock.Now()
 	p, e := f.source.Watch(c, f.mirror.AsOf(), w)
-	if e == nil {
-		f.logPage("watch", p, t)
+	if e != nil {
+		return e
 	}
-	return p, e
+	f.logPage("watch", p, t)
+	f.mirror.ApplyChanges(p, f.clock.Now())
+	return nil
 }
 
-// logPage logs the facts of p that could not be parsed. If p includes catalogues, it
-// also logs the call n, made at the time t, that returned them.
+// logPage logs the facts of p that could not be parsed. If p includes a catalogue, it
+// also logs the call n, made at the time t, that returned it.
 func (f *Follower) logPage(n string, p *lavenderridge.FactPage, t time.Time) {
-	var a []uint64
 	for _, v := range p.Facts {
 		if len(v.Findings) > 0 {
 			f.log.Warn("FactRejected", zap.String("Key", string(v.Key)), zap.Uint64("Revision", uint64(v.Revision)), zap.Error(v.Findings))
 		}
 		if v.Catalogue != nil {
-			a = append(a, uint64(v.Catalogue.Version))
+			f.log.Info("CatalogueRead", zap.String("Call", n), zap.Uint64("Version", uint64(v.Catalogue.Version)), zap.Int("Superseded", p.Superseded),
+				zap.Uint64("Revision", uint64(p.AsOf)), zap.Int64("Bytes", int64(p.Size)), zap.Int64("LatencyMicroseconds", f.clock.Now().Sub(t).Microseconds()))
 		}
 	}
-	if len(a) > 0 {
-		f.log.Info("CatalogueRead", zap.String("Call", n), zap.Uint64s("Versions", a), zap.Int("Facts", len(p.Facts)), zap.Uint64("Revision", uint64(p.AsOf)),
-			zap.Int64("Bytes", int64(p.Size)), zap.Int64("LatencyMicroseconds", f.clock.Now().Sub(t).Microseconds()))
-	}
 }
 
 // publish offers the documents of the mirror to the store.
