Use a listing whose instance list is on one page without reading missed changes

With a configuration near 1 MiB the first page holds nothing else, and the changes since then hold every further version: too large to read for as long as the storm lasts, though the newest version was in hand.

The fix: when all facts of the instance list come from pages of one revision, the list of that revision is exact without further changes, and a catalogue is whole in itself. The follower then uses the listing as it is, and the next watch starts from the first page. That also saves a call and one more transfer of the configuration at each such listing. Changes that the list already includes have no effect when they come again, deletions included (testdata/mirror/pages).

Open: several pages of registrations (more than about 500) with more than 2 MiB of changes while they are listed.

--- a/factsource.go
+++ b/factsource.go
@@ -19,7 +19,8 @@
 type FactSource interface {
 	// List returns the facts after the key k, which is empty for the first
 	// page. The pages of one listing may reflect different revisions, so that
-	// together they are no snapshot.
+	// together they are no snapshot. The catalogue precedes all facts of the
+	// instance list.
 	List(c context.Context, k FactKey) (*FactPage, error)
 	// Watch returns the changes after the revision r as soon as there are any,
 	// or an empty page after the wait w. The error is ErrHistoryLost if the
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -141,10 +141,11 @@
 }
 
 // list reads all pages of a listing into the mirror. The pages may have different
-// revisions; applying the changes since the first page makes them consistent.
+// revisions. Unless those of the instance list have the same one, applying the changes
+// since the first page makes them consistent.
 func (f *Follower) list(c context.Context) error {
 	var a []lavenderridge.Fact
-	var r lavenderridge.Revision
+	var r, l lavenderridge.Revision // of the first page, and of the first with the list
 	var k lavenderridge.FactKey
 	for i := range maxPages {
 		t := f.clock.Now()
@@ -157,24 +158,22 @@
 		if i == 0 {
 			r = p.AsOf
 		}
+		if n := len(p.Facts); l == 0 && (n == 0 || p.Facts[n-1].Catalogue == nil) {
+			l = p.AsOf
+		}
 		if !p.More || len(p.Facts) == 0 {
-			f.mirror.ApplyListing(a, r, f.clock.Now())
-			return f.readMissedChanges(c, i > 0)
+			if l == p.AsOf {
+				f.mirror.ApplyListing(a, r, l, f.clock.Now())
+				return nil
+			}
+			f.mirror.ApplyListing(a, r, r, f.clock.Now())
+			return f.watch(c, 0)
 		}
 		k = p.Facts[len(p.Facts)-1].Key
 	}
 	return errors.New("configservice: listing exceeds the page limit")
 }
 
-// readMissedChanges applies the changes that were made while the pages of a
-// listing were read. It does nothing unless o reports that there were several.
-func (f *Follower) readMissedChanges(c context.Context, o bool) error {
-	if !o {
-		return nil
-	}
-	return f.watch(c, 0)
-}
-
 // watch applies the changes since the mirror's revision, for which it waits up to w.
 func (f *Follower) watch(c context.Context, w time.Duration) error {
 	t := f.clock.Now()
--- a/internal/policy/configservice/mirror.go
+++ b/internal/policy/configservice/mirror.go
@@ -56,9 +56,9 @@
 }
 
 // ApplyListing replaces all facts by those of a complete listing that ended at
-// the time t. Every page includes the changes up to the revision r; some pages
-// may include later ones.
-func (m *Mirror) ApplyListing(a []lavenderridge.Fact, r lavenderridge.Revision, t time.Time) {
+// the time t. Every page includes the changes up to the revision r, and those with
+// facts of the instance list include the changes up to the revision l.
+func (m *Mirror) ApplyListing(a []lavenderridge.Fact, r, l lavenderridge.Revision, t time.Time) {
 	m.sourceResponded(t)
 	k := make(map[lavenderridge.FactKey]bool, len(a))
 	for _, f := range a {
@@ -72,15 +72,19 @@
 	for _, f := range a {
 		m.put(f)
 	}
-	m.asOf, m.listRevision = r, max(m.listRevision, r)
+	m.asOf, m.listRevision = r, max(m.listRevision, l)
 }
 
-// ApplyChanges applies the changes that a watch returned at the time t.
+// ApplyChanges applies the changes that a watch returned at the time t. Changes that
+// the mirror already includes have no effect.
 func (m *Mirror) ApplyChanges(p *lavenderridge.FactPage, t time.Time) {
 	m.sourceResponded(t)
 	for _, f := range p.Facts {
 		if f.Deleted {
 			o := m.facts[f.Key]
+			if o.Revision > f.Revision {
+				continue
+			}
 			m.remove(f.Key, t)
 			f.Catalogue = o.Catalogue
 		} else {
--- a/internal/policy/configservice/mirror_test.go
+++ b/internal/policy/configservice/mirror_test.go
@@ -50,9 +50,11 @@
 		datadriven.RunTest(t, p, func(t *testing.T, d *datadriven.TestData) string {
 			var r uint64
 			d.MaybeScanArgs(t, "as-of", &r)
+			l := r
+			d.MaybeScanArgs(t, "list", &l)
 			switch d.Cmd {
 			case "listed":
-				m.ApplyListing(mirrorFacts(t, d), lavenderridge.Revision(r), n)
+				m.ApplyListing(mirrorFacts(t, d), lavenderridge.Revision(r), lavenderridge.Revision(l), n)
 			case "changed":
 				m.ApplyChanges(&lavenderridge.FactPage{Facts: mirrorFacts(t, d), AsOf: lavenderridge.Revision(r)}, n)
 			case "failed":
@@ -66,14 +68,14 @@
 			default:
 				d.Fatalf(t, "unknown command %s", d.Cmd)
 			}
-			l, v := m.InstanceList(n)
+			s, v := m.InstanceList(n)
 			var b strings.Builder
 			fmt.Fprintf(&b, "list %d, as of %d:", v, m.AsOf())
-			for _, i := range l.Instances {
+			for _, i := range s.Instances {
 				fmt.Fprintf(&b, " %s=%s", i.ID, i.Backend)
 			}
-			if len(l.Evacuated) > 0 {
-				fmt.Fprintf(&b, ", evacuated %v", l.Evacuated)
+			if len(s.Evacuated) > 0 {
+				fmt.Fprintf(&b, ", evacuated %v", s.Evacuated)
 			}
 			if c := m.Catalogue(); c != nil {
 				fmt.Fprintf(&b, ", catalogue %d", c.Version)
