Pull each document in a loop of its own

Cause: one loop pulled both documents, one at a time, any newer instance list before any newer catalogue, and a failed pull barred the neighbour for 2 s for both. A list whose pull timed out, after 1.5 s, kept a catalogue waiting that the same neighbour could have delivered.

The fix: a loop and a scheduler for each document, with its own pauses after failures.

--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -56,10 +56,8 @@
 	recorder      lavenderridge.Recorder
 	counters      metrics.Registry
 
-	pullScheduler *peer.PullScheduler
-	pullLimiter   *peer.PullLimiter
-	// pullNeeded wakes pullLoop when another daemon has a newer version.
-	pullNeeded       chan struct{}
+	pullers          []*puller
+	pullLimiter      *peer.PullLimiter
 	leavingAnnounced atomic.Bool
 	// startedAlone is true if no neighbour replied at the start.
 	startedAlone atomic.Bool
@@ -73,7 +71,8 @@
 	p := &Gossiper{
 		self: f, store: s, acceptor: a, gate: g, sourceContact: t, neighbourhood: h, dialer: d, clock: k,
 		log: zap.NewNop(), leaving: func() bool { return false }, counters: metrics.NewRegistry(),
-		pullScheduler: peer.NewPullScheduler(), pullLimiter: peer.NewPullLimiter(), pullNeeded: make(chan struct{}, 1),
+		pullers:     []*puller{newPuller(lavenderridge.DocumentCatalogue), newPuller(lavenderridge.DocumentInstanceList)},
+		pullLimiter: peer.NewPullLimiter(),
 	}
 	for _, v := range o {
 		v(p)
@@ -126,7 +125,9 @@
 	g, c := errgroup.WithContext(c)
 	g.Go(func() error { return s.announceLoop(c) })
 	g.Go(func() error { return s.antiEntropyLoop(c) })
-	g.Go(func() error { return s.pullLoop(c) })
+	for _, p := range s.pullers {
+		g.Go(func() error { return s.pullLoop(c, p) })
+	}
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.heartbeatLoop(c) })
 	e := g.Wait()
@@ -135,13 +136,15 @@
 }
 
 // MessageReceived records the versions in the sender of any message and wakes the
-// pull loop if one is newer. It does not block.
+// pull loops of the documents that are newer. It does not block.
 func (s *Gossiper) MessageReceived(v lavenderridge.Sender) {
 	if n := s.store.Snapshot(); n != nil && n.Versions().Covers(v.Stamps.Versions()) {
 		return
 	}
-	if s.pullScheduler.MessageReceived(v, s.versions()) {
-		s.wakePull()
+	for _, p := range s.pullers {
+		if p.scheduler.MessageReceived(v, s.versions().Of(p.document)) {
+			p.wake()
+		}
 	}
 }
 
--- a/internal/daemon/peer/gossiperpull.go
+++ b/internal/daemon/peer/gossiperpull.go
@@ -8,47 +8,62 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 )
 
-// wakePull wakes pullLoop. It does not block.
-func (s *Gossiper) wakePull() {
+// puller holds the state of the pull loop of one document. Each document has a loop of
+// its own, so that neither waits while the other is pulled.
+type puller struct {
+	document  lavenderridge.DocumentName
+	scheduler *peer.PullScheduler
+	// needed wakes the loop when another daemon has a newer version.
+	needed chan struct{}
+}
+
+func newPuller(d lavenderridge.DocumentName) *puller {
+	return &puller{document: d, scheduler: peer.NewPullScheduler(d), needed: make(chan struct{}, 1)}
+}
+
+// wake wakes the pull loop. It does not block.
+func (p *puller) wake() {
 	select {
-	case s.pullNeeded <- struct{}{}:
+	case p.needed <- struct{}{}:
 	default:
 	}
 }
 
-// pullLoop pulls newer versions from other daemons whenever pullNeeded is set.
-func (s *Gossiper) pullLoop(c context.Context) error {
+// pullLoop pulls newer versions of the document of p whenever it is woken.
+func (s *Gossiper) pullLoop(c context.Context, p *puller) error {
 	for {
 		select {
 		case <-c.Done():
 			return nil
-		case <-s.pullNeeded:
+		case <-p.needed:
 		}
-		s.pullPending(c)
+		s.pullPending(c, p)
 	}
 }
 
 // pullPending pulls until no other daemon is known to have a newer version.
-func (s *Gossiper) pullPending(c context.Context) {
-	for c.Err() == nil && s.pullScheduler.Pending(s.versions()) {
-		n, d, o := s.pullScheduler.Next(s.versions(), s.clock.Now())
+func (s *Gossiper) pullPending(c context.Context, p *puller) {
+	for c.Err() == nil && p.scheduler.Pending(s.versions().Of(p.document)) {
+		n, o := p.scheduler.Next(s.versions().Of(p.document), s.clock.Now())
 		if !o {
 			_ = lavenderridge.Sleep(c, pullRetryInterval)
 			continue
 		}
 		if v := s.neighbourhood.Instance(n); v != nil {
-			s.pull(c, v, d)
+			s.pull(c, v, p)
 		} else {
-			s.pullScheduler.Failed(n, false, s.clock.Now())
+			p.scheduler.Failed(n, false, s.clock.Now())
 		}
 	}
 }
 
-// pull fetches a newer version of the document d from v and offers it to the store.
+// pull fetches a newer version of the document of l from v and offers it to the store.
 // It fetches the whole document if the delta is rejected.
-func (s *Gossiper) pull(c context.Context, v *lavenderridge.Instance, d lavenderridge.DocumentName) {
+func (s *Gossiper) pull(c context.Context, v *lavenderridge.Instance, l *puller) {
+	d := l.document
 	h := s.store.Acceptance(d).Stamp
 	p, e := s.fetch(c, v, d, h)
 	if e == nil && p.Delta != nil {
@@ -59,12 +74,12 @@
 		p, e = s.fetch(c, v, d, lavenderridge.Stamp{})
 	}
 	if e != nil || p.Whole == nil {
-		s.pullScheduler.Failed(v.ID, e == nil && p.Busy, s.clock.Now())
+		l.scheduler.Failed(v.ID, e == nil && p.Busy, s.clock.Now())
 		return
 	}
 	s.count(CounterPullWhole)
 	if w, _ := s.acceptor.OfferPulled(d, lavenderridge.Origin(v.ID), p); w == configservice.OfferRejected {
-		s.pullScheduler.Failed(v.ID, false, s.clock.Now())
+		l.scheduler.Failed(v.ID, false, s.clock.Now())
 	}
 }
 
@@ -82,7 +97,7 @@
 	}
 	s.log.Info("DocumentPulled", append(l, zap.Uint64("Version", uint64(p.Stamp.Version)), zap.Bool("Busy", p.Busy),
 		zap.Int("WholeBytes", len(p.Whole)), zap.Int("DeltaBytes", len(p.Delta)))...)
-	s.pullScheduler.MessageReceived(p.Sender, s.versions())
+	s.MessageReceived(p.Sender)
 	return p, nil
 }
 
--- a/internal/policy/peer/pullscheduler.go
+++ b/internal/policy/peer/pullscheduler.go
@@ -19,69 +19,61 @@
 	pullBusyPause = 150 * time.Millisecond
 )
 
-// A PullScheduler tracks which daemons have a higher version of a document than
+// A PullScheduler tracks which daemons have a higher version of one document than
 // this one, and selects the daemon to pull from.
 type PullScheduler struct {
-	mutex   sync.Mutex
-	holders map[lavenderridge.InstanceID]*pullHolder
+	document lavenderridge.DocumentName
+	mutex    sync.Mutex
+	holders  map[lavenderridge.InstanceID]*pullHolder
 }
 
-// pullHolder is a daemon that has a higher version of a document.
+// pullHolder is a daemon that has a higher version of the document.
 type pullHolder struct {
-	stamps    lavenderridge.Stamps
+	version   lavenderridge.Version
 	notBefore time.Time
 	failures  int
 }
 
-// NewPullScheduler returns a scheduler without any daemons.
-func NewPullScheduler() *PullScheduler {
-	return &PullScheduler{holders: make(map[lavenderridge.InstanceID]*pullHolder)}
+// NewPullScheduler returns a scheduler for the document d without any daemons.
+func NewPullScheduler(d lavenderridge.DocumentName) *PullScheduler {
+	return &PullScheduler{document: d, holders: make(map[lavenderridge.InstanceID]*pullHolder)}
 }
 
-// MessageReceived records the stamps in a message of the sender s. It reports
-// whether one of them is higher than the versions h of this daemon.
-func (p *PullScheduler) MessageReceived(s lavenderridge.Sender, h lavenderridge.Versions) bool {
+// MessageReceived records the version in a message of the sender s. It reports
+// whether it is higher than the version h of this daemon.
+func (p *PullScheduler) MessageReceived(s lavenderridge.Sender, h lavenderridge.Version) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if h.Covers(s.Stamps.Versions()) {
+	w := s.Stamps.Of(p.document).Version
+	if w <= h {
 		delete(p.holders, s.Instance)
 		return false
 	}
 	if v, o := p.holders[s.Instance]; o {
-		v.stamps = s.Stamps
+		v.version = w
 	} else if len(p.holders) < maxHolders {
-		p.holders[s.Instance] = &pullHolder{stamps: s.Stamps}
+		p.holders[s.Instance] = &pullHolder{version: w}
 	}
 	return true
 }
 
-// Next returns the document to pull and the instance to pull it from at the time
-// t, where h are the versions of this daemon. The instance list comes before the
-// catalogue, and the highest version first. The last result is false if there is
-// nothing to pull now.
-func (p *PullScheduler) Next(h lavenderridge.Versions, t time.Time) (lavenderridge.InstanceID, lavenderridge.DocumentName, bool) {
+// Next returns the instance with the highest version from which to pull at the
+// time t, where h is the version of this daemon. The last result is false if there
+// is nothing to pull now.
+func (p *PullScheduler) Next(h lavenderridge.Version, t time.Time) (lavenderridge.InstanceID, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var b lavenderridge.InstanceID
-	var d lavenderridge.DocumentName
-	var m lavenderridge.Version
+	m := h
 	for n, v := range p.holders {
-		w := v.stamps.Versions()
-		if h.Covers(w) {
+		switch {
+		case v.version <= h:
 			delete(p.holders, n)
-			continue
-		}
-		if t.Before(v.notBefore) {
-			continue
-		}
-		if w.InstanceList > h.InstanceList && (d != lavenderridge.DocumentInstanceList || w.InstanceList > m) {
-			b, d, m = n, lavenderridge.DocumentInstanceList, w.InstanceList
-		}
-		if w.Catalogue > h.Catalogue && d != lavenderridge.DocumentInstanceList && w.Catalogue > m {
-			b, d, m = n, lavenderridge.DocumentCatalogue, w.Catalogue
+		case !t.Before(v.notBefore) && v.version > m:
+			b, m = n, v.version
 		}
 	}
-	return b, d, b != ""
+	return b, b != ""
 }
 
 // Failed records that a pull from the instance n failed at the time t. The
@@ -106,11 +98,11 @@
 
 // Pending reports whether some daemon has a higher version than h, including
 // daemons that are skipped for now.
-func (p *PullScheduler) Pending(h lavenderridge.Versions) bool {
+func (p *PullScheduler) Pending(h lavenderridge.Version) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, v := range p.holders {
-		if !h.Covers(v.stamps.Versions()) {
+		if v.version > h {
 			return true
 		}
 	}
--- a/versions.go
+++ b/versions.go
@@ -11,6 +11,14 @@
 	return v.Catalogue >= o.Catalogue && v.InstanceList >= o.InstanceList
 }
 
+// Of returns the version of the document d.
+func (v Versions) Of(d DocumentName) Version {
+	if d == DocumentCatalogue {
+		return v.Catalogue
+	}
+	return v.InstanceList
+}
+
 // Max returns the newer version of each document.
 func (v Versions) Max(o Versions) Versions {
 	return Versions{
