Spread the waits of watches, and repeat a failed watch soon

Cause: every change ends the watches of all readers at the same time, and each then waited the same 2 s. If the connections became half-open just after a change, all readers noticed at the same time, 2.7 s later, and then all waited for 0.3 to 0.6 s more: no daemon of the fleet had the next version before 3 s, with 2.5 s allowed everywhere.

The fix: a watch waits for 1 to 2 s, drawn each time, so that the first of eight readers notices after 1.8 s or so, and the first failure, which may only mean a half-open connection, is followed by the usual pause; later ones back off as before. A calm store sees about a third more watches. The golden plans now have the follower's.

--- a/internal/policy/configservice/followscheduler.go
+++ b/internal/policy/configservice/followscheduler.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// followWatchWait is how long one watch waits for changes. A watch that
+	// followWatchWait is the longest wait of a watch for changes. A watch that
 	// returns none does not prove that there are none, so it is renewed well
-	// within the time limit for activating a change.
+	// within the time limit for activating a change. A change ends the watches of
+	// all readers at the same time; waits of different lengths, from half of this,
+	// keep their later ones apart, so that half-open connections delay only some.
 	followWatchWait = 2 * time.Second
 	// followWatchPause is the pause before each watch. Changes in quick
 	// succession are then read with one call.
@@ -21,9 +23,9 @@
 	// from which on every daemon reads it. It corresponds to two failed watches
 	// in a row.
 	followMaxSourceAge = 6 * time.Second
-	// followBackoffBase is doubled with each failure, the first one included.
-	// The result, at most minReadInterval, is the longest pause before a watch is
-	// retried.
+	// followBackoffBase is doubled with each failure after the first one, which
+	// may only mean that the connection was half-open. The result, at most
+	// minReadInterval, is the longest pause before a watch is retried.
 	followBackoffBase = 300 * time.Millisecond
 )
 
@@ -41,8 +43,8 @@
 		return ReadPlan{Delay: scale(w, r)}
 	}
 	if s.IsReader {
-		p := ReadPlan{Delay: followWatchPause, Wait: followWatchWait}
-		if s.Failures > 0 {
+		p := ReadPlan{Delay: followWatchPause, Wait: scale(followWatchWait, (1+r)/2)}
+		if s.Failures > 1 {
 			p.Delay = scale(min(followBackoffBase<<min(s.Failures, maxDoublings), minReadInterval), (1+r)/2)
 		}
 		return p
--- a/internal/policy/configservice/gate_test.go
+++ b/internal/policy/configservice/gate_test.go
@@ -60,10 +60,14 @@
 		d.MaybeScanArgs(t, "random", &random)
 		s.FleetSize, s.Failures = fleet, failures
 		s.PeerAge, s.SourceAge = time.Duration(peerAge)*time.Second, time.Duration(sourceAge)*time.Second
+		d.MaybeScanArgs(t, "has-list", &s.HasInstanceList)
 		p := configservice.PlanRead(s, random)
-		if d.Cmd == "first" {
+		switch d.Cmd {
+		case "first":
 			p = configservice.PlanFirstRead(s, fleet, random)
+		case "follow":
+			p = configservice.FollowScheduler{}.Next(s, random)
 		}
-		return fmt.Sprintf("skip %t, delay %s, wait %s\n", p.Skip, p.Delay.Round(time.Millisecond), p.Wait)
+		return fmt.Sprintf("skip %t, delay %s, wait %s\n", p.Skip, p.Delay.Round(time.Millisecond), p.Wait.Round(time.Millisecond))
 	})
 }
