Probe idle connections when one has become half-open

Cause: a half-open connection was found only by a call of its own, which fails after about 0.5 s. A daemon all of whose connections fell silent found them one after the other: each pull went to the next neighbour and lost another 0.5 s, and so did the first request to each target.

The fix: when a connection was half-open while a new one to the same daemon works, all idle connections on which nothing arrived in the last 200 ms are pinged, and those that don't respond are closed, so that the next call dials. A daemon that can't be reached at all causes no pings of others.

--- a/internal/transport/peerhttp/probe.go
+++ b/internal/transport/peerhttp/probe.go
@@ -74,4 +74,33 @@
 		l.transport.counters.replaced.Inc(1)
 	}
 	n.close()
+	if e == nil {
+		l.transport.probeIdle(l.transport.sinceStart() - pingTimeout)
+	}
+}
+
+// probeIdle probes the connections without running calls on which nothing has arrived
+// since the time b. It is called after a connection was found half-open while new ones
+// work: what has made it so may have hit others, on which the next call would fail.
+func (t *Transport) probeIdle(b time.Duration) {
+	t.links.Range(func(_, v any) bool {
+		l := v.(*link)
+		n := l.connection.Load()
+		if n != nil && n.lastRead.Load() < int64(b) && l.runningCalls.Load() == 0 && l.probing.CompareAndSwap(false, true) {
+			t.goroutines.Go(func() { l.closeIfSilent(n) })
+		}
+		return true
+	})
+}
+
+// closeIfSilent pings the idle connection n and closes it if the ping fails, unless
+// calls have begun meanwhile. The next call then uses a new connection.
+func (l *link) closeIfSilent(n *connection) {
+	defer l.probing.Store(false)
+	l.transport.counters.probes.Inc(1)
+	c, f := context.WithTimeout(l.transport.lifetime, pingTimeout)
+	defer f()
+	if n.http.Ping(c) != nil && l.runningCalls.Load() == 0 && l.connection.CompareAndSwap(n, nil) {
+		n.close()
+	}
 }
