Send a request that was refused before over a connection of its own

Cause: a response is matched to its request by the ID, and the attempts of one request have the same ID. When the second attempt went out on the connection of the first, the repeated refusal counted as its response: NotRun, though it ran, and it could then run at a second target.

Evidence: TestRepeatedRefusalIsNotBelieved failed before, with a pause of 0 and of 20 ms before the repeated refusal (refused, NotRun; the run's response then arrived unsolicited).

The fix: the client keeps the IDs of refused requests until their deadlines, and sends a request with such an ID over a new connection, on which no earlier response can arrive. Other requests keep using the connection (TestRefusalKeepsTheConnection); with another ID a repeated refusal was recognised before.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -34,10 +34,14 @@
 	dialer              *dialer
 	pool                atomic.Pointer[pool]
 	healthPool          *pool
-	checking            atomic.Bool
-	newPool             func() (*pool, error)
-	protocol            lavenderridge.BackendProtocol
-	healthPath          func() string
+	// repeatPool opens a connection for each request. It is for requests that the
+	// backend server has refused before, which are in refused.
+	repeatPool *pool
+	refused    refusedIDs
+	checking   atomic.Bool
+	newPool    func() (*pool, error)
+	protocol   lavenderridge.BackendProtocol
+	healthPath func() string
 }
 
 var _ lavenderridge.BackendServer = (*Client)(nil)
@@ -59,7 +63,10 @@
 		return nil, e
 	}
 	l.pool.Store(p)
-	l.healthPool, e = newPool(c, l.dialer, 1, false)
+	if l.healthPool, e = newPool(c, l.dialer, 1, false); e != nil {
+		return nil, e
+	}
+	l.repeatPool, e = newPool(c, l.dialer, max(1, int(n)-1), false)
 	return l, e
 }
 
@@ -77,6 +84,11 @@
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e.Error())
 	}
 	o := l.pool.Load()
+	if l.refused.contains(r.ID) {
+		// On a kept connection, the response could be the earlier refusal, sent
+		// once more: it has the same ID.
+		o = l.repeatPool
+	}
 	defer l.closeIdleIfReplaced(o)
 	k := time.AfterFunc(l.unresponsiveTimeout, func() { l.checkUnresponsive(c, o) })
 	defer k.Stop()
@@ -99,6 +111,7 @@
 	if n, o := l.protocol.NotRun(p.StatusCode, h); o {
 		f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, n, fmt.Sprintf("the backend server responded with status %d and did not run the request", p.StatusCode))
 		f.Offered = true
+		l.refused.add(c, r.ID)
 		return nil, f
 	}
 	if l.protocol.ImpliesNotRun(p.StatusCode) {
@@ -272,5 +285,5 @@
 
 // Close implements lavenderridge.BackendServer.
 func (l *Client) Close() error {
-	return errors.Join(l.pool.Load().close(), l.healthPool.close())
+	return errors.Join(l.pool.Load().close(), l.healthPool.close(), l.repeatPool.close())
 }
