Compress the deltas that daemons pull

Cause: whole documents were compressed, deltas were not.

Deltas from 1 KiB are compressed where that makes them smaller. Compressed data begins with four bytes that no encoding of a delta begins with. A daemon of an earlier build can't decode one, logs VersionRejected and pulls the whole document, as it does after any delta that fails. The bound on decompressed sizes holds for deltas too (TestDecompressionBound).

--- a/internal/transport/peerhttp/compact.go
+++ b/internal/transport/peerhttp/compact.go
@@ -1,6 +1,7 @@
 package peerhttp
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"sync"
@@ -58,7 +59,8 @@
 }
 
 // wirePullReply is the wire form of a pull reply. A whole document is in
-// Compressed if that makes it smaller, and in Whole otherwise.
+// Compressed if that makes it smaller, and in Whole otherwise. A delta is compressed
+// if that makes it smaller; daemons that don't know this pull the whole document.
 type wirePullReply struct {
 	_          struct{} `cbor:",toarray"`
 	Sender     wireSender
@@ -178,28 +180,48 @@
 
 func newWirePullReply(p *lavenderridge.PullReply) *wirePullReply {
 	w := &wirePullReply{Sender: newWireSender(&p.Sender), Stamp: newWireStamp(p.Stamp), Whole: p.Whole, Delta: p.Delta, Busy: p.Busy}
-	if lavenderridge.ByteCount(len(p.Whole)) < minCompressedSize {
-		return w
-	}
-	if b := compressor().EncodeAll(p.Whole, nil); len(b) < len(p.Whole) {
+	if b, o := compress(p.Whole); o {
 		w.Whole, w.Compressed = nil, b
 	}
+	if b, o := compress(p.Delta); o {
+		w.Delta = b
+	}
 	return w
 }
 
+// compress returns b compressed, and false if that is not worthwhile.
+func compress(b []byte) ([]byte, bool) {
+	if lavenderridge.ByteCount(len(b)) < minCompressedSize {
+		return nil, false
+	}
+	z := compressor().EncodeAll(b, nil)
+	return z, len(z) < len(b)
+}
+
+// compressedMagic begins compressed data, and no encoding of a delta.
+var compressedMagic = []byte{0x28, 0xb5, 0x2f, 0xfd}
+
+// decompress returns b decompressed.
+func decompress(b []byte) ([]byte, error) {
+	d, e := decompressor().DecodeAll(b, nil)
+	if e != nil {
+		return nil, fmt.Errorf("peerhttp: decompress: %w", e)
+	}
+	return d, nil
+}
+
 func (w *wirePullReply) reply() (lavenderridge.PullReply, error) {
 	s, e := w.Sender.sender()
 	t, x := w.Stamp.stamp()
 	p := lavenderridge.PullReply{Sender: s, Stamp: t, Whole: w.Whole, Delta: w.Delta, Busy: w.Busy}
-	if e := errors.Join(e, x); e != nil || len(w.Compressed) == 0 {
-		return p, e
+	e = errors.Join(e, x)
+	if e == nil && len(w.Compressed) > 0 {
+		p.Whole, e = decompress(w.Compressed)
 	}
-	b, e := decompressor().DecodeAll(w.Compressed, nil)
-	if e != nil {
-		return p, fmt.Errorf("peerhttp: decompress: %w", e)
+	if e == nil && bytes.HasPrefix(w.Delta, compressedMagic) {
+		p.Delta, e = decompress(w.Delta)
 	}
-	p.Whole = b
-	return p, nil
+	return p, e
 }
 
 var compressor = sync.OnceValue(func() *zstd.Encoder {
--- a/internal/transport/peerhttp/compact_test.go
+++ b/internal/transport/peerhttp/compact_test.go
@@ -26,6 +26,7 @@
 		&lavenderridge.PullReply{Sender: s, Stamp: s.Stamps.Catalogue, Whole: bytes.Repeat([]byte("instance"), 1000)},
 		&lavenderridge.PullReply{Sender: s, Stamp: s.Stamps.Catalogue, Delta: []byte{1}},
 		&lavenderridge.PullReply{Sender: s, Busy: true},
+		&lavenderridge.PullReply{Sender: s, Stamp: s.Stamps.Catalogue, Delta: bytes.Repeat([]byte("instance"), 1000)},
 		&lavenderridge.ActivationRequest{
 			Sender:  lavenderridge.Sender{Instance: "instance-00001", DataCentre: "dc-1", Incarnation: 1 << 60},
 			Service: "service-001", Versions: s.Stamps.Versions(), Membership: lavenderridge.Digest{5}, Gathering: true,
@@ -40,7 +41,7 @@
 // TestCompact checks that messages are unchanged after encoding and decoding, and
 // how long their encodings are.
 func TestCompact(t *testing.T) {
-	want := []int{129, 83, 160, 183, 153, 117, 91}
+	want := []int{129, 83, 160, 183, 153, 117, 183, 91}
 	for i, v := range compactMessages() {
 		b, e := encode(1, v)
 		if e != nil {
@@ -88,13 +89,16 @@
 // rejected if the document exceeds the size limit when it is decompressed.
 func TestDecompressionBound(t *testing.T) {
 	z := compressor().EncodeAll(make([]byte, 2*maxDecompressedSize), nil)
-	b, e := encode(1, &wirePullReply{Sender: newWireSender(&lavenderridge.Sender{}), Compressed: z})
-	if e != nil {
-		t.Fatal(e)
-	}
-	var p lavenderridge.PullReply
-	if e := decode(b[1:], &p); e == nil {
-		t.Errorf("a message of %d bytes decompressed to %d bytes; want an error", len(b), len(p.Whole))
+	for _, w := range []wirePullReply{{Compressed: z}, {Delta: z}} {
+		w.Sender = newWireSender(&lavenderridge.Sender{})
+		b, e := encode(1, &w)
+		if e != nil {
+			t.Fatal(e)
+		}
+		var p lavenderridge.PullReply
+		if e := decode(b[1:], &p); e == nil {
+			t.Errorf("a message of %d bytes decompressed to %d bytes; want an error", len(b), len(p.Whole)+len(p.Delta))
+		}
 	}
 }
 
