Bound the head of every response at 64 KiB

Cause: the HTTP library reads up to 10 MiB of header fields and grows its buffers on the way, so that one response without end allocated 52 to 73 MB before it failed, on machines of 184 MB.

Evidence: TestEndlessResponses failed for a field, for fields and for a status line without end (73,345,136, 53,581,816 and 52,329,656 bytes allocated; want at most 1,048,576). Interim responses, chunked bodies, chunk extensions and trailers without end were bounded before.

The fix: one bound for all clients: backend servers and their health checks, the store, the configuration service, the operators' views and other daemons.

--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -180,6 +181,66 @@
 	}
 }
 
+// endlessReader repeats its text without end.
+type endlessReader string
+
+func (r endlessReader) Read(b []byte) (int, error) {
+	n := 0
+	for n < len(b) {
+		n += copy(b[n:], r)
+	}
+	return n, nil
+}
+
+// TestEndlessResponses checks that responses which never end are refused, and how much
+// memory the client allocates for them at most.
+func TestEndlessResponses(t *testing.T) {
+	for _, p := range []struct {
+		name, head, rest string
+		bound            lavenderridge.ByteCount
+	}{
+		{"field", "HTTP/1.1 200 OK\r\nX-A: ", "aaaaaaaaaaaaaaaa", lavenderridge.Mebibyte},
+		{"fields", "HTTP/1.1 200 OK\r\n", "X-A: aaaaaaaaaaaaaaaa\r\n", lavenderridge.Mebibyte},
+		{"status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa", lavenderridge.Mebibyte},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\n", 2 * lavenderridge.Mebibyte},
+		{"body with chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n", 8 * lavenderridge.Mebibyte},
+		{"body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "abcd", 8 * lavenderridge.Mebibyte},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "aaaaaaaaaaaaaaaa", lavenderridge.Mebibyte},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: aaaaaaaaaaaaaaaa\r\n", lavenderridge.Mebibyte},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			s := newRawServer(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				_, _ = io.Copy(c, io.MultiReader(strings.NewReader(p.head), endlessReader(p.rest)))
+				return false
+			})
+			b := newClient(t, s.address(), 10)
+			c, f := context.WithTimeout(t.Context(), 5*time.Second)
+			defer f()
+			n := allocated(func() {
+				_, e := b.Handle(c, request("GET", ""))
+				if e == nil || lavenderridge.AsRefusal(e).Outcome != lavenderridge.OutcomeUnknown {
+					t.Errorf("error %v; want a refusal with the outcome Unknown", e)
+				}
+			})
+			if c.Err() != nil {
+				t.Error("the client read until the deadline")
+			}
+			if n > p.bound {
+				t.Errorf("%d bytes allocated; want at most %d", n, p.bound)
+			}
+		})
+	}
+}
+
+// allocated returns the number of bytes that f allocates.
+func allocated(f func()) lavenderridge.ByteCount {
+	var a, b runtime.MemStats
+	runtime.ReadMemStats(&a)
+	f()
+	runtime.ReadMemStats(&b)
+	return lavenderridge.ByteCount(b.TotalAlloc - a.TotalAlloc)
+}
+
 func TestReturnsRedirects(t *testing.T) {
 	s := newRawServer(t, func(_ int64, c net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n")
--- a/internal/transport/backendhttp/pool.go
+++ b/internal/transport/backendhttp/pool.go
@@ -26,6 +26,7 @@
 	t := &http.Transport{
 		DialContext: d.dial, MaxConnsPerHost: n, MaxIdleConnsPerHost: n, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, DisableKeepAlives: !k,
+		MaxResponseHeaderBytes: plainhttp.MaxResponseHead,
 	}
 	h, e := plainhttp.NewClient(c, locationHider{t}, 0)
 	if e != nil {
--- a/internal/transport/operatorhttp/client.go
+++ b/internal/transport/operatorhttp/client.go
@@ -24,7 +24,7 @@
 
 // NewClient returns a client of the daemon with the operator address a.
 func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
-	p := &http.Transport{}
+	p := &http.Transport{MaxResponseHeaderBytes: plainhttp.MaxResponseHead}
 	h, e := plainhttp.NewClient(c, p, 0)
 	if e != nil {
 		return nil, fmt.Errorf("operatorhttp: %w", e)
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -15,6 +15,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const (
@@ -80,7 +81,7 @@
 		return nil, fmt.Errorf("peerhttp: %w", e)
 	}
 	t := &Transport{
-		http:       &http2.Transport{DisableCompression: true, IdleConnTimeout: idleTimeout, WriteByteTimeout: writeTimeout},
+		http:       &http2.Transport{DisableCompression: true, IdleConnTimeout: idleTimeout, WriteByteTimeout: writeTimeout, MaxHeaderListSize: plainhttp.MaxResponseHead},
 		keys:       k,
 		maxMessage: defaultMaxMessage, probeDelay: defaultProbeDelay, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
--- a/internal/transport/plainhttp/client.go
+++ b/internal/transport/plainhttp/client.go
@@ -11,6 +11,10 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
+// MaxResponseHead bounds, in bytes, the status line and the header fields of a
+// response, together with those of the interim responses before it.
+const MaxResponseHead = 64 << 10
+
 // NewClient returns a client that sends requests over t and returns responses
 // of any status without an error. The timeout d applies to each request; zero
 // means that only the request's context limits it.
