Bound the memory of response bodies by the machine's memory

Cause: each body was read up to Limits.MaxBody, 64 MiB on the platform, on machines of 184 MB, and nothing bounded several at the same time.

Evidence: with the bound of the whole switched off, four concurrent responses without end of a client with that limit allocated 805,638,368 bytes (TestEndlessBodiesShareMemory; want at most 68,157,440).

The fix: the bodies that are being read share an eighth of the daemon's memory, which the platform states in its settings (Limits.MemoryMegabytes). Buffers grow as bytes arrive, so an announced length alone takes nothing, and the response that would go beyond the share is refused as TooLarge with the outcome Unknown; the others go on. Bodies that have been read and wait to be sent are not counted: they are bounded by the slots.

--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -36,7 +36,9 @@
 	defaultColdSlack      = 0.0 // requests per second
 	maxColdFactor         = 10.0
 	maxLinkMegabits       = 1e6
+	maxMemoryMegabytes    = 1e6
 	bitsPerMegabit        = 1e6
+	bytesPerMegabyte      = 1e6
 	maxColdSlack          = 1000.0
 	maxRatio              = 1.0 // retries per request
 	maxExtraRetries       = 100_000
@@ -151,6 +153,7 @@
 	d.Metrics = r.optionalAddress("Operator.Metrics")
 	d.StopDelay = r.duration("Limits.StopDelay", 0, 0, maxStopDelay)
 	d.LinkRate = lavenderridge.BitRate(r.number("Limits.LinkMegabits", 0, maxLinkMegabits) * bitsPerMegabit)
+	d.Memory = lavenderridge.ByteCount(r.number("Limits.MemoryMegabytes", 0, maxMemoryMegabytes) * bytesPerMegabyte)
 	d.ColdFactor = r.number("Backend.ColdFactor", defaultColdFactor, maxColdFactor)
 	d.ColdSlack = r.number("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
 	d.RetryRatio = lavenderridge.Ratio(r.number("Retries.Ratio", 0, maxRatio))
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -50,6 +50,8 @@
 	ColdFactor, ColdSlack float64
 	// LinkRate is the rate of the machine's network link; zero means unknown.
 	LinkRate lavenderridge.BitRate
+	// Memory is the memory that the daemon may use; zero means unknown.
+	Memory lavenderridge.ByteCount
 	// RetryRatio and RetryExtra bound the retries of the whole fleet in any window
 	// of time: the fraction RetryRatio of the requests, plus RetryExtra. If both
 	// are zero, each daemon has a retry budget of its own.
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -9,6 +9,11 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
 )
 
+// bodyMemoryShare is the share of the daemon's memory that is available to response
+// bodies that are being read. Growing buffers and the garbage collector take several
+// times that.
+const bodyMemoryShare = 8
+
 // ownerPart forwards requests to the daemon's own backend server.
 type ownerPart struct {
 	service  lavenderridge.ServiceID
@@ -36,12 +41,14 @@
 	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
 }
 
-// backendOptions returns the options that the adapter requires, if there is one.
+// backendOptions returns the options that the settings and the adapter require, if
+// there is one.
 func backendOptions(d *Daemon) []backendhttp.Option {
+	o := []backendhttp.Option{backendhttp.WithBodyMemory(d.config.Memory / bodyMemoryShare)}
 	if d.adapter == nil {
-		return nil
+		return o
 	}
-	return []backendhttp.Option{
+	return append(o,
 		backendhttp.WithProtocol(d.adapter.Backends()),
 		backendhttp.WithHealthPath(func() string {
 			if s := d.configuration.store.Snapshot(); s != nil {
@@ -50,8 +57,7 @@
 				}
 			}
 			return ""
-		}),
-	}
+		}))
 }
 
 func (p *ownerPart) load() lavenderridge.Load {
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -38,6 +38,7 @@
 	// backend server has refused before, which are in refused.
 	repeatPool *pool
 	refused    refusedIDs
+	bodies     bodyBudget
 	checking   atomic.Bool
 	newPool    func() (*pool, error)
 	protocol   lavenderridge.BackendProtocol
@@ -120,13 +121,13 @@
 	if !l.protocol.AllowsUnframed() && isCloseDelimited(r.Method, p) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response has neither a Content-Length nor a chunked encoding")
 	}
-	b, e := io.ReadAll(io.LimitReader(p.Body, int64(l.maxBody)+1))
+	b, e := l.bodies.read(p.Body, p.ContentLength, l.maxBody)
+	if errors.Is(e, errBodyTooLarge) || errors.Is(e, errNoBodyMemory) {
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonTooLarge, e.Error())
+	}
 	if e != nil {
 		return nil, requestRefusal(c, s, e)
 	}
-	if lavenderridge.ByteCount(len(b)) > l.maxBody {
-		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonTooLarge, "the response body is too large")
-	}
 	renameField(p.Header, hiddenLocationField, locationField)
 	return &lavenderridge.Response{
 		ID: r.ID, Attempt: r.Attempt, Status: p.StatusCode, Header: lavenderridge.Header(p.Header), Body: b,
--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -232,6 +232,42 @@
 	}
 }
 
+// TestEndlessBodiesShareMemory checks that concurrent responses without end stay within
+// the memory for bodies, and that the next response is read.
+func TestEndlessBodiesShareMemory(t *testing.T) {
+	const concurrency, memory = 4, 8 * lavenderridge.Mebibyte
+	s := newRawServer(t, func(i int64, c net.Conn, _ *http.Request) bool {
+		if i > concurrency {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}
+		_, _ = io.Copy(c, io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"), endlessReader("abcd")))
+		return false
+	})
+	b, e := backendhttp.NewClient(t.Context(), s.address(), 10, 64*lavenderridge.Mebibyte, backendhttp.WithBodyMemory(memory))
+	if e != nil {
+		t.Fatal(e)
+	}
+	t.Cleanup(func() { _ = b.Close() })
+	var g sync.WaitGroup
+	n := allocated(func() {
+		for range concurrency {
+			g.Go(func() {
+				_, e := b.Handle(t.Context(), request("GET", ""))
+				checkRefusal(t, e, lavenderridge.OutcomeUnknown, lavenderridge.ReasonTooLarge)
+			})
+		}
+		g.Wait()
+	})
+	// A buffer that doubles allocates up to twice its last size.
+	if m := 2*concurrency*memory + lavenderridge.Mebibyte; n > m {
+		t.Errorf("%d bytes allocated; want at most %d", n, m)
+	}
+	if p, e := b.Handle(t.Context(), request("GET", "")); e != nil || string(p.Body) != "ok" {
+		t.Errorf("next response: %v, %v", p, e)
+	}
+}
+
 // allocated returns the number of bytes that f allocates.
 func allocated(f func()) lavenderridge.ByteCount {
 	var a, b runtime.MemStats
--- a/internal/transport/backendhttp/option.go
+++ b/internal/transport/backendhttp/option.go
@@ -21,6 +21,13 @@
 	return func(l *Client) { l.protocol = p }
 }
 
+// WithBodyMemory bounds the memory of the response bodies that are being read at the
+// same time to n bytes. A response that would need more is refused as TooLarge. By
+// default, only the size of each body is bounded.
+func WithBodyMemory(n lavenderridge.ByteCount) Option {
+	return func(l *Client) { l.bodies.limit = n }
+}
+
 // WithHealthPath makes the client send health checks to the path that f
 // returns. If f returns an empty path, the default path is used.
 func WithHealthPath(f func() string) Option {
