Check in the soak that published versions come into force in time

It now records each publication, and reports a daemon that has an older catalogue 6 s later, the target, without a fault or a stop since then or in the 3 s before.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -141,6 +141,7 @@
 		return e
 	}
 	f.history.Latest = f.source.Publish(lavenderridge.DocumentCatalogue, b)
+	f.history.Publications = append(f.history.Publications, judge.Publication{Version: f.history.Latest, Time: time.Now()})
 	return nil
 }
 
--- a/internal/soak/judge/history.go
+++ b/internal/soak/judge/history.go
@@ -8,6 +8,9 @@
 	Runs  []Run
 	// VersionSamples are the versions that the daemons reported, ordered by time.
 	VersionSamples []VersionSample
+	// Publications are the versions of the catalogue that were published, ordered
+	// by time.
+	Publications []Publication
 	// Disturbances are the injected faults, without planned shutdowns.
 	Disturbances []Span
 	// Stops are the planned shutdowns, each from the signal until the process
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -12,8 +12,11 @@
 	// drainBound is the time after which a data centre that was taken out of
 	// service must receive no new requests (docs/PROOFS.md).
 	drainBound = 5 * time.Second
-	// recoveryPeriod is the time without faults after which a daemon must keep
-	// drainBound again. It is longer than the detection of a half-open connection.
+	// activationBound is the time after which a published version must be in force
+	// at every daemon (docs/PROOFS.md).
+	activationBound = 6 * time.Second
+	// recoveryPeriod is the time without faults after which a daemon must keep the
+	// bounds again. It is longer than the detection of a half-open connection.
 	recoveryPeriod = 3 * time.Second
 	// minAnsweredShare is the share of requests that must be answered after the
 	// last fault.
@@ -27,6 +30,7 @@
 	v.checkRefusals(&f)
 	v.checkBrokenConnections(&f)
 	v.checkVersionRollbacks(&f)
+	v.checkActivation(&f)
 	v.checkOutOfService(&f)
 	for _, n := range slices.Sorted(keys(v.PeakInFlight)) {
 		if v.PeakInFlight[n] > v.Slots {
@@ -151,6 +155,44 @@
 	return fmt.Sprintf("%d and %d", v.Catalogue, v.InstanceList)
 }
 
+// checkActivation reports daemons at which a version of the catalogue, or a newer one,
+// was not in force activationBound after its publication. It omits samples of daemons
+// with a fault or a stop since then or in the recoveryPeriod before. It reports each
+// daemon once for a version.
+func (v *History) checkActivation(f *lavenderridge.Findings) {
+	type activation struct {
+		n lavenderridge.InstanceID
+		v lavenderridge.Version
+	}
+	m := map[activation]bool{}
+	for _, s := range v.VersionSamples {
+		p := v.requiredAt(s.Time)
+		k := activation{s.Instance, p.Version}
+		if s.Versions.Catalogue >= p.Version || m[k] {
+			continue
+		}
+		b := p.Time.Add(-recoveryPeriod)
+		d := func(d Span) bool { return d.affects(s.Instance, b, s.Time) }
+		if slices.ContainsFunc(v.Disturbances, d) || slices.ContainsFunc(v.Stops, d) {
+			continue
+		}
+		m[k] = true
+		f.Add(string(s.Instance), "had catalogue %d in force %s after the publication of %d", s.Versions.Catalogue, s.Time.Sub(p.Time).Round(time.Millisecond), p.Version)
+	}
+}
+
+// requiredAt returns the last publication that must be in force everywhere at the
+// time t, or an empty one.
+func (v *History) requiredAt(t time.Time) Publication {
+	var r Publication
+	for _, p := range v.Publications {
+		if t.Sub(p.Time) > activationBound {
+			r = p
+		}
+	}
+	return r
+}
+
 // checkOutOfService reports requests that began in a data centre more than
 // drainBound after it was taken out of service. It omits instances with a fault in
 // that period or in the recoveryPeriod before it.
