Notice half-open watches of the configuration service in time

When their connections became half-open, no daemon would have had the next version for 10 s, with 6 s allowed everywhere.

Evidence: TestHalfOpenWatch failed before (with the longest wait of now, 3 s, the watch took 8.0 s; at most 4.5 s).

The fix: watches wait for 1.5 to 3 s, drawn each time, and the client gives a response 1 s to begin and for each pause, 5 s in all, as that of the platform's store does; what they share is now plainhttp.Progress. 20 readers make 18 calls a second in place of 8, of 2,000.

--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -16,8 +16,11 @@
 	// share of maxFleetRate.
 	documentCount = 2
 
-	// watchWait is how long one watch waits at the source for a newer version.
-	watchWait = 5 * time.Second
+	// watchWait is the longest wait of a watch at the source for a newer version. A
+	// change ends the watches of all readers at the same time; waits of different
+	// lengths, from half of this, keep their later ones apart, so that half-open
+	// connections delay only some.
+	watchWait = 3 * time.Second
 	// maxPeerAge is the time without a message from any neighbour after which a
 	// daemon reads the source itself.
 	maxPeerAge = 4 * time.Second
@@ -67,7 +70,7 @@
 // list. The random number r in [0, 1) spreads the reads of the fleet.
 func PlanRead(s ReadState, r float64) ReadPlan {
 	if s.IsReader {
-		return ReadPlan{Delay: backoff(s.Failures, r), Wait: watchWait}
+		return ReadPlan{Delay: backoff(s.Failures, r), Wait: scale(watchWait, (1+r)/2)}
 	}
 	if s.HasVersion && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge {
 		return ReadPlan{Skip: true}
--- a/internal/transport/confighttp/client.go
+++ b/internal/transport/confighttp/client.go
@@ -20,8 +20,11 @@
 
 const (
 	maxDocument = lavenderridge.Mebibyte
-	// responseGrace is how long a response may take beyond the requested wait.
-	responseGrace = 5 * time.Second
+	// responseGrace is the time beyond the requested wait after which a response
+	// must begin, and the longest pause in it.
+	responseGrace = time.Second
+	// transferTimeout bounds the time that a whole response takes beyond that.
+	transferTimeout = 5 * time.Second
 )
 
 // A Client reads documents from the configuration service.
@@ -45,8 +48,10 @@
 
 // Read implements lavenderridge.ConfigService.
 func (l *Client) Read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (*lavenderridge.Document, error) {
-	c, f := context.WithTimeout(c, w+responseGrace)
+	c, f := context.WithTimeout(c, w+responseGrace+transferTimeout)
 	defer f()
+	c, k := plainhttp.WithProgress(c, w, responseGrace)
+	defer k.Stop()
 	q := url.Values{"after": {strconv.FormatUint(uint64(v), 10)}, "wait": {w.String()}}
 	u := fmt.Sprintf("http://%s/v1/documents/%s?%s", l.address, d, q.Encode())
 	r, e := http.NewRequestWithContext(c, http.MethodGet, u, http.NoBody)
@@ -55,15 +60,16 @@
 	}
 	p, e := l.http.Do(r)
 	if e != nil {
-		return nil, fmt.Errorf("confighttp: read %s: %w", d, e)
+		return nil, fmt.Errorf("confighttp: read %s: %w", d, k.Error(e))
 	}
 	defer func() { _ = p.Body.Close() }()
-	return readDocument(d, p)
+	n, e := readDocument(d, p, k.Reader(p.Body))
+	return n, k.Error(e)
 }
 
-// readDocument returns the document d in the response p, or nil if there is no
-// newer version.
-func readDocument(d lavenderridge.DocumentName, p *http.Response) (*lavenderridge.Document, error) {
+// readDocument returns the document d in the response p with the body r, or nil if
+// there is no newer version.
+func readDocument(d lavenderridge.DocumentName, p *http.Response, r io.Reader) (*lavenderridge.Document, error) {
 	if p.StatusCode == http.StatusNotModified {
 		return nil, nil
 	}
@@ -74,7 +80,7 @@
 	if e != nil || v == 0 {
 		return nil, fmt.Errorf("confighttp: read %s: bad %s header: %q", d, VersionHeader, p.Header.Get(VersionHeader))
 	}
-	b, e := io.ReadAll(io.LimitReader(p.Body, int64(maxDocument)+1))
+	b, e := io.ReadAll(io.LimitReader(r, int64(maxDocument)+1))
 	if e != nil {
 		return nil, fmt.Errorf("confighttp: read %s: %w", d, e)
 	}
