--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -38,7 +38,7 @@
 	faultProbability float64
 	// latency is the one-way latency of every link between daemons.
 	latency time.Duration
-	// pullDelays is the additional time that a pull of a document takes.
+	// pullDelays is the time that the reply to a pull of a document takes to arrive.
 	pullDelays map[lavenderridge.DocumentName]time.Duration
 	// cuts are the links that carry no calls, by linkKey.
 	cuts       map[[2]int]bool
@@ -350,10 +350,11 @@
 }
 
 func (r *remote) Pull(c context.Context, q *lavenderridge.PullRequest) (*lavenderridge.PullReply, error) {
-	if e := lavenderridge.Sleep(c, r.from.fleet.pullDelays[q.Name]); e != nil {
-		return nil, e
+	p, e := callRemote(c, r, func(p *process) (*lavenderridge.PullReply, error) { return p.gossiper.Pull(c, q) })
+	if x := lavenderridge.Sleep(c, r.from.fleet.pullDelays[q.Name]); x != nil {
+		return nil, x
 	}
-	return callRemote(c, r, func(p *process) (*lavenderridge.PullReply, error) { return p.gossiper.Pull(c, q) })
+	return p, e
 }
 
 // callRemote calls f at the process of r. It returns when the reply arrives or c ends,
