--- a/internal/transport/peerhttp/halfopen_test.go
+++ b/internal/transport/peerhttp/halfopen_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 	standin "github.com/lavenderridge/lavenderridge/internal/standin/link"
@@ -48,7 +47,10 @@
 	if e := call("b", s.link.Address()); e == nil {
 		t.Error("a call on a half-open connection succeeded")
 	}
-	time.Sleep(2 * pingTimeout)
+	s.waitFor(func() bool {
+		l, o := s.client.links.Load(lavenderridge.InstanceID("c"))
+		return o && l.(*link).connection.Load() == nil
+	})
 	if e := call("c", k.Address()); e != nil {
 		t.Errorf("the first call to the second daemon: %v", e)
 	}
