--- a/internal/daemon/peer/pull_test.go
+++ b/internal/daemon/peer/pull_test.go
@@ -9,8 +9,7 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// TestCatalogueIsPulledWhileListsChange checks that a catalogue does not wait for the
-// pulls of instance lists, neither while these are slow nor after they have failed.
+// Another list is always newer, and the pulls of lists are slow or fail.
 func TestCatalogueIsPulledWhileListsChange(t *testing.T) {
 	for _, d := range []time.Duration{1200 * time.Millisecond, 4 * time.Second} {
 		t.Run(fmt.Sprintf("pulls of lists take %s", d), func(t *testing.T) {
--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -192,8 +192,7 @@
 	return n, nil
 }
 
-// TestEndlessResponses checks that responses which never end are refused, and how much
-// memory the client allocates for them at most.
+// Responses without end are refused, and take little memory until then.
 func TestEndlessResponses(t *testing.T) {
 	for _, p := range []struct {
 		name, head, rest string
@@ -232,8 +231,7 @@
 	}
 }
 
-// TestEndlessBodiesShareMemory checks that concurrent responses without end stay within
-// the memory for bodies, and that the next response is read.
+// Concurrent bodies without end stay within one bound, and the next response is read.
 func TestEndlessBodiesShareMemory(t *testing.T) {
 	const concurrency, memory = 4, 8 * lavenderridge.Mebibyte
 	s := newRawServer(t, func(i int64, c net.Conn, _ *http.Request) bool {
--- a/internal/transport/backendhttp/repeatedrefusal_test.go
+++ b/internal/transport/backendhttp/repeatedrefusal_test.go
@@ -81,8 +81,7 @@
 	}
 }
 
-// TestRepeatedRefusalIsNotBelieved checks that the refusal of an earlier attempt, when
-// the backend server writes it once more, isn't taken for that of the attempt that runs.
+// The refusal of the first attempt arrives once more while the second attempt runs.
 func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
 	for _, d := range []time.Duration{0, 20 * time.Millisecond} {
 		t.Run(d.String(), func(t *testing.T) {
@@ -101,8 +100,7 @@
 	}
 }
 
-// TestRefusalKeepsTheConnection checks that a refusal doesn't close the connection for
-// requests with other IDs.
+// Requests with other IDs use the connection of a refusal.
 func TestRefusalKeepsTheConnection(t *testing.T) {
 	s := newRepeatingServer(t, 0)
 	b := newClient(t, lavenderridge.Address(s.listener.Addr().String()), 10, backendhttp.WithProtocol(refusingProtocol{}))
--- a/internal/transport/confighttp/client_test.go
+++ b/internal/transport/confighttp/client_test.go
@@ -23,9 +23,7 @@
 	return l
 }
 
-// TestHalfOpenWatch checks that a watch on a half-open connection, with the wait of a
-// reader, ends early enough for a change to be in force 6 s after its publication. It
-// leaves 1.5 s for the next watch and the way to the other daemons.
+// It leaves 1.5 s of 6 s for the next watch and the way to the other daemons.
 func TestHalfOpenWatch(t *testing.T) {
 	const longestWait = 3 * time.Second
 	c := make(chan struct{})
@@ -40,8 +38,7 @@
 	}
 }
 
-// TestLargestDocumentOverSlowLink checks that a document is read for as long as bytes
-// arrive, here for 2 s.
+// The document takes 2 s to arrive.
 func TestLargestDocumentOverSlowLink(t *testing.T) {
 	const chunks = 20
 	l := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/transport/peerhttp/halfopen_test.go
+++ b/internal/transport/peerhttp/halfopen_test.go
@@ -8,9 +8,7 @@
 	standin "github.com/lavenderridge/lavenderridge/internal/standin/link"
 )
 
-// TestOneHalfOpenConnectionRevealsOthers checks that the first call on the connection
-// to a second daemon does not wait until it is found half-open, when that to a first
-// daemon was found half-open before.
+// The first call to a second daemon must not find its own connection half-open.
 func TestOneHalfOpenConnectionRevealsOthers(t *testing.T) {
 	s := newSession(t)
 	v, e := NewTransport("127.0.0.1:0", s.keys("c", s.authority))
