--- a/internal/transport/backendhttp/bodybudget.go
+++ b/internal/transport/backendhttp/bodybudget.go
@@ -24,8 +24,8 @@
 }
 
 // read returns the whole body r of at most m bytes. Its announced length n is negative
-// if there is none. The buffer grows as bytes arrive, so that an announced length alone takes
-// no memory.
+// if there is none. The buffer grows as bytes arrive, so that an announced length
+// alone takes no memory.
 func (b *bodyBudget) read(r io.Reader, n int64, m lavenderridge.ByteCount) ([]byte, error) {
 	if n < 0 || n > int64(m) {
 		n = int64(m)
--- a/internal/transport/peerhttp/probe.go
+++ b/internal/transport/peerhttp/probe.go
@@ -75,18 +75,19 @@
 	}
 	n.close()
 	if e == nil {
-		l.transport.probeIdle(l.transport.sinceStart() - pingTimeout)
+		l.transport.probeIdle()
 	}
 }
 
 // probeIdle probes the connections without running calls on which nothing has arrived
-// since the time b. It is called after a connection was found half-open while new ones
+// for pingTimeout. It is called after a connection was found half-open while new ones
 // work: what has made it so may have hit others, on which the next call would fail.
-func (t *Transport) probeIdle(b time.Duration) {
+func (t *Transport) probeIdle() {
+	k := t.sinceStart()
 	t.links.Range(func(_, v any) bool {
 		l := v.(*link)
 		n := l.connection.Load()
-		if n != nil && n.lastRead.Load() < int64(b) && l.runningCalls.Load() == 0 && l.probing.CompareAndSwap(false, true) {
+		if n != nil && n.sinceLastRead(k) > pingTimeout && l.runningCalls.Load() == 0 && l.probing.CompareAndSwap(false, true) {
 			t.goroutines.Go(func() { l.closeIfSilent(n) })
 		}
 		return true
