Give the stop of the server for daemons a context of its own

Callers saw nothing so far. Serve reused the variable that the goroutine of Start reads, without synchronization: had that goroutine begun only after the stop, the server would have run under the stop's timeout.

--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -66,9 +66,9 @@
 	case <-c.Done():
 	}
 	s.activity.waitIdle(x)
-	x, n := context.WithTimeout(x, shutdownTimeout)
+	v, n := context.WithTimeout(x, shutdownTimeout)
 	defer n()
-	if e := s.stopper.Stop(x, s.http); e != nil {
+	if e := s.stopper.Stop(v, s.http); e != nil {
 		return fmt.Errorf("peerhttp: stop: %w", e)
 	}
 	return serveError(<-f)
