Dial again for a call whose shared dial began before it

A call joins the pending dial, and that dial may have begun during the outage and have only a part of its 300 ms left.

--- a/internal/transport/peerhttp/dial.go
+++ b/internal/transport/peerhttp/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 )
 
 var errConnecting = errors.New("peerhttp: still connecting")
@@ -24,17 +23,12 @@
 	close(d.done)
 }
 
-// wait returns the result of the dial, or an error if c ends or connectWait passes
-// before there is one.
+// wait returns the result of the dial, or the cause if c ends before there is one.
 func (d *dial) wait(c context.Context) (*connection, error) {
-	t := time.NewTimer(connectWait)
-	defer t.Stop()
 	select {
 	case <-d.done:
 		return d.connection, d.err
 	case <-c.Done():
-		return nil, c.Err()
-	case <-t.C:
-		return nil, errConnecting
+		return nil, context.Cause(c)
 	}
 }
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -151,22 +151,48 @@
 	l.runningCalls.Add(-1)
 }
 
-// connect returns the current connection, or waits for a new one. All waiting
-// calls share one dial, and each waits no longer than its own context lasts.
+// connect returns the current connection, or waits at most connectWait for a new one.
+// All waiting calls share one dial, and each waits no longer than its own context
+// lasts.
 func (l *link) connect(c context.Context) (*connection, error) {
+	if n := l.usableConnection(); n != nil {
+		return n, nil
+	}
+	c, f := context.WithTimeoutCause(c, connectWait, errConnecting)
+	defer f()
+	n, o, e := l.awaitDial(c)
+	if e == nil || o || c.Err() != nil {
+		return n, e
+	}
+	// The failed dial began before this call, and the peer may have come back since.
+	if n := l.usableConnection(); n != nil {
+		return n, nil
+	}
+	n, _, e = l.awaitDial(c)
+	return n, e
+}
+
+// usableConnection returns the current connection, or nil if it takes no new calls.
+func (l *link) usableConnection() *connection {
+	if n := l.connection.Load(); n != nil && n.http.CanTakeNewRequest() {
+		return n
+	}
+	return nil
+}
+
+// awaitDial waits for the pending dial, or begins one if there is none. The second
+// result is true if it began one.
+func (l *link) awaitDial(c context.Context) (*connection, bool, error) {
 	for {
-		if n := l.connection.Load(); n != nil && n.http.CanTakeNewRequest() {
-			return n, nil
+		if d := l.pendingDial.Load(); d != nil {
+			n, e := d.wait(c)
+			return n, false, e
 		}
-		d := l.pendingDial.Load()
-		if d == nil {
-			d = newDial()
-			if !l.pendingDial.CompareAndSwap(nil, d) {
-				continue
-			}
+		if d := newDial(); l.pendingDial.CompareAndSwap(nil, d) {
 			l.transport.goroutines.Go(func() { l.dial(d) })
+			n, e := d.wait(c)
+			return n, true, e
 		}
-		return d.wait(c)
 	}
 }
 
