Wait at a start for the versions that callers report

Callers saw: a daemon that had just restarted took requests with catalogue 1 while another daemon that had called it meanwhile had told it of catalogue 3.

Cause: the gate waited only for versions in the replies to the daemon's own queries. The earlier trace blamed the test's oracle, because the daemon with the newer version was no neighbour by the list; but that daemon does call, and its call arrives before the gate opens.

--- a/internal/daemon/peer/gossipergate.go
+++ b/internal/daemon/peer/gossipergate.go
@@ -40,7 +40,8 @@
 
 // openAtStart waits for an instance list, queries the neighbours in it for their
 // versions and then opens the gate. The daemon accepts no work until it has the
-// highest of these versions or the gate's wait for them has ended.
+// highest of these versions, and of those that other daemons reported meanwhile, or
+// the gate's wait for them has ended.
 func (s *Gossiper) openAtStart(c context.Context) {
 	for s.store.InstanceList() == nil {
 		f := s.store.Changed()
@@ -61,7 +62,7 @@
 		w = w.Max(v)
 		a += n
 	}
-	s.gate.Open(b, w, s.clock.Now())
+	s.gate.Open(b, w.Max(s.reportedVersions()), s.clock.Now())
 	if a == 0 {
 		s.startedAlone.Store(true)
 		s.record("StartedFromSourceAlone", "no neighbour replied")
@@ -70,6 +71,15 @@
 	s.record("StartedWithNeighbours", "neighbours replied")
 }
 
+// reportedVersions returns the highest versions in the messages received so far.
+func (s *Gossiper) reportedVersions() lavenderridge.Versions {
+	var v lavenderridge.Versions
+	for _, p := range s.pullers {
+		v = v.With(p.document, p.scheduler.HighestReported())
+	}
+	return v
+}
+
 // StartedAlone reports whether no neighbour replied when the daemon started, so that
 // it opened the gate with the versions of the source alone.
 func (s *Gossiper) StartedAlone() bool {
--- a/internal/policy/peer/pullscheduler.go
+++ b/internal/policy/peer/pullscheduler.go
@@ -25,6 +25,8 @@
 	document lavenderridge.DocumentName
 	mutex    sync.Mutex
 	holders  map[lavenderridge.InstanceID]*pullHolder
+	// highestReported is the highest version in any message.
+	highestReported lavenderridge.Version
 }
 
 // pullHolder is a daemon that has a higher version of the document.
@@ -45,6 +47,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	w := s.Stamps.Of(p.document).Version
+	p.highestReported = max(p.highestReported, w)
 	if w <= h {
 		delete(p.holders, s.Instance)
 		return false
@@ -57,6 +60,13 @@
 	return true
 }
 
+// HighestReported returns the highest version in the messages received so far, or 0.
+func (p *PullScheduler) HighestReported() lavenderridge.Version {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.highestReported
+}
+
 // Next returns the instance with the highest version from which to pull at the
 // time t, where h is the version of this daemon. The last result is false if there
 // is nothing to pull now.
--- a/versions.go
+++ b/versions.go
@@ -19,6 +19,16 @@
 	return v.InstanceList
 }
 
+// With returns v with the version n of the document d.
+func (v Versions) With(d DocumentName, n Version) Versions {
+	if d == DocumentCatalogue {
+		v.Catalogue = n
+	} else {
+		v.InstanceList = n
+	}
+	return v
+}
+
 // Max returns the newer version of each document.
 func (v Versions) Max(o Versions) Versions {
 	return Versions{
