Pull from another daemon while a pull is slow

Cause: the pulls of a document followed each other. A neighbour whose processor is short takes a second for a delta of 1.5 KB, one that can't be reached 0.2 to 0.3 s, and only then the next was asked. A pull that needed more than 1.5 s was repeated from the start, so that a document that takes longer on a crowded link never arrived.

The fix: after 250 ms another pull begins beside the slow one, up to four, after delays that double; the first reply counts and the others are cancelled. A pull may take 5 s, because the transport closes half-open connections sooner.

--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -67,6 +67,9 @@
 	// it lags.
 	versionLimits map[lavenderridge.DocumentName]lavenderridge.Version
 	pausedAt      time.Time
+	// pullDelays are the times that replies to the node's pulls take to arrive, by the
+	// index of the other node.
+	pullDelays map[int]time.Duration
 	// resumed is closed at the end of the present pause; it is nil if there is none.
 	resumed chan struct{}
 	// proc is nil while the daemon is down.
@@ -362,7 +365,7 @@
 
 func (r *remote) Pull(c context.Context, q *lavenderridge.PullRequest) (*lavenderridge.PullReply, error) {
 	p, e := callRemote(c, r, func(p *process) (*lavenderridge.PullReply, error) { return p.gossiper.Pull(c, q) })
-	if x := lavenderridge.Sleep(c, r.from.fleet.pullDelays[q.Name]); x != nil {
+	if x := lavenderridge.Sleep(c, r.from.fleet.pullDelays[q.Name]+r.from.pullDelays[r.to.index]); x != nil {
 		return nil, x
 	}
 	return p, e
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -19,11 +19,19 @@
 
 const (
 	// exchangeInterval is the mean time between two anti-entropy exchanges.
-	exchangeInterval       = time.Second
-	exchangeTimeout        = 900 * time.Millisecond
-	pullTimeout            = 1500 * time.Millisecond
+	exchangeInterval = time.Second
+	exchangeTimeout  = 900 * time.Millisecond
+	// pullTimeout is for large documents on crowded links. The transport closes
+	// half-open connections sooner.
+	pullTimeout            = 5 * time.Second
 	pullRetryInterval      = 100 * time.Millisecond
 	maxConcurrentExchanges = 16
+
+	// hedgeDelay is how long a pull may run before the document is pulled from another
+	// daemon as well. Pulls that are not held up rarely take that long.
+	hedgeDelay = 250 * time.Millisecond
+	// maxPulls is the number of pulls of one document that run at the same time.
+	maxPulls = 4
 )
 
 // The names of the counters of calls to other daemons, by cause.
--- a/internal/daemon/peer/gossiperpull.go
+++ b/internal/daemon/peer/gossiperpull.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 )
 
+var errNoDocument = errors.New("peer: the reply has no newer document")
+
 // puller holds the state of the pull loop of one document. Each document has a loop of
 // its own, so that neither waits while the other is pulled.
 type puller struct {
@@ -26,12 +30,30 @@
 
 // wake wakes the pull loop. It does not block.
 func (p *puller) wake() {
+	signal(p.needed)
+}
+
+// signal sends to the buffered channel h unless it is full.
+func signal(h chan<- struct{}) {
 	select {
-	case p.needed <- struct{}{}:
+	case h <- struct{}{}:
 	default:
 	}
 }
 
+// awaitSignal waits for a signal of h, for at most d. It reports whether there was one.
+func awaitSignal(c context.Context, h <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-h:
+		return true
+	case <-t.C:
+	case <-c.Done():
+	}
+	return false
+}
+
 // pullLoop pulls newer versions of the document of p whenever it is woken.
 func (s *Gossiper) pullLoop(c context.Context, p *puller) error {
 	for {
@@ -44,55 +66,93 @@
 	}
 }
 
-// pullPending pulls until no other daemon is known to have a newer version.
+// pullPending pulls until no other daemon is known to have a newer version. When a pull
+// takes longer than hedgeDelay, it begins another one from a different daemon, and
+// further ones after delays that double. Pulls that are still running in the end are
+// cancelled.
 func (s *Gossiper) pullPending(c context.Context, p *puller) {
+	c, f := context.WithCancel(c)
+	var g errgroup.Group
+	g.SetLimit(maxPulls)
+	defer func() {
+		f()
+		_ = g.Wait()
+	}()
+	h, d := make(chan struct{}, 1), hedgeDelay
 	for c.Err() == nil && p.scheduler.Pending(s.versions().Of(p.document)) {
 		n, o := p.scheduler.Next(s.versions().Of(p.document), s.clock.Now())
 		if !o {
-			_ = lavenderridge.Sleep(c, pullRetryInterval)
+			awaitSignal(c, h, pullRetryInterval)
 			continue
 		}
-		if v := s.neighbourhood.Instance(n); v != nil {
-			s.pull(c, v, p)
+		g.Go(func() error {
+			defer signal(h)
+			s.pull(c, n, p)
+			return nil
+		})
+		if awaitSignal(c, h, d) {
+			d = hedgeDelay
 		} else {
-			p.scheduler.Failed(n, false, s.clock.Now())
+			d = min(2*d, pullTimeout)
 		}
 	}
 }
 
-// pull fetches a newer version of the document of l from v and offers it to the store.
-// It fetches the whole document if the delta is rejected.
-func (s *Gossiper) pull(c context.Context, v *lavenderridge.Instance, l *puller) {
-	d := l.document
+// pull pulls a newer version of the document of p from the instance n and offers it to
+// the store.
+func (s *Gossiper) pull(c context.Context, n lavenderridge.InstanceID, p *puller) {
+	v := s.neighbourhood.Instance(n)
+	if v == nil {
+		p.scheduler.Failed(n, false, s.clock.Now())
+		return
+	}
+	b, e := s.pullDocument(c, v, p.document)
+	if e != nil && c.Err() == nil {
+		p.scheduler.Failed(n, b, s.clock.Now())
+		return
+	}
+	p.scheduler.Ended(n)
+}
+
+// pullDocument fetches a newer version of the document d from v and offers it to the
+// store. It fetches the whole document if the delta is rejected, unless the store has
+// meanwhile accepted another version, to which the delta can't be applied. The first
+// result is true if v was too busy to reply.
+func (s *Gossiper) pullDocument(c context.Context, v *lavenderridge.Instance, d lavenderridge.DocumentName) (bool, error) {
 	h := s.store.Acceptance(d).Stamp
 	p, e := s.fetch(c, v, d, h)
 	if e == nil && p.Delta != nil {
 		s.count(CounterPullDelta)
-		if _, x := s.acceptor.OfferPulled(d, lavenderridge.Origin(v.ID), p); x == nil {
-			return
+		if _, x := s.acceptor.OfferPulled(d, lavenderridge.Origin(v.ID), p); x == nil || s.store.Acceptance(d).Stamp != h {
+			return false, nil
 		}
 		p, e = s.fetch(c, v, d, lavenderridge.Stamp{})
 	}
-	if e != nil || p.Whole == nil {
-		l.scheduler.Failed(v.ID, e == nil && p.Busy, s.clock.Now())
-		return
+	switch {
+	case e != nil:
+		return false, e
+	case p.Whole == nil:
+		return p.Busy, errNoDocument
 	}
 	s.count(CounterPullWhole)
-	if w, _ := s.acceptor.OfferPulled(d, lavenderridge.Origin(v.ID), p); w == configservice.OfferRejected {
-		l.scheduler.Failed(v.ID, false, s.clock.Now())
+	if w, x := s.acceptor.OfferPulled(d, lavenderridge.Origin(v.ID), p); w == configservice.OfferRejected {
+		return false, x
 	}
+	return false, nil
 }
 
 // fetch pulls the document d from v. The stamp h is that of the version to which a
 // delta can be applied; without one, v sends the whole document.
 func (s *Gossiper) fetch(c context.Context, v *lavenderridge.Instance, d lavenderridge.DocumentName, h lavenderridge.Stamp) (*lavenderridge.PullReply, error) {
-	c, f := context.WithTimeout(c, pullTimeout)
+	x, f := context.WithTimeout(c, pullTimeout)
 	defer f()
 	t := s.clock.Now()
-	p, e := s.dialer.Dial(v).Pull(c, &lavenderridge.PullRequest{Sender: s.sender(), Name: d, Have: h})
+	p, e := s.dialer.Dial(v).Pull(x, &lavenderridge.PullRequest{Sender: s.sender(), Name: d, Have: h})
 	l := []zap.Field{zap.String("Document", string(d)), zap.String("Origin", string(v.ID)), zap.Int64("LatencyMicroseconds", s.clock.Now().Sub(t).Microseconds())}
 	if e != nil {
-		s.log.Warn("PullFailed", append(l, zap.Error(e))...)
+		if c.Err() == nil {
+			s.log.Warn("PullFailed", append(l, zap.Error(e))...)
+		}
 		return nil, e
 	}
 	s.log.Info("DocumentPulled", append(l, zap.Uint64("Version", uint64(p.Stamp.Version)), zap.Bool("Busy", p.Busy),
--- a/internal/policy/peer/neighbourhood_test.go
+++ b/internal/policy/peer/neighbourhood_test.go
@@ -48,6 +48,9 @@
 		case "pull":
 			i, o := p.Next(have.Catalogue, now)
 			return fmt.Sprintf("%s %t\n", i, o)
+		case "pull-ended":
+			p.Ended(s.Instance)
+			return ""
 		case "pull-failed":
 			p.Failed(s.Instance, d.HasArg("busy"), now)
 			return ""
--- a/internal/policy/peer/pullscheduler.go
+++ b/internal/policy/peer/pullscheduler.go
@@ -34,6 +34,8 @@
 	version   lavenderridge.Version
 	notBefore time.Time
 	failures  int
+	// pulling is true while a pull from the daemon is running.
+	pulling bool
 }
 
 // NewPullScheduler returns a scheduler for the document d without any daemons.
@@ -68,8 +70,9 @@
 }
 
 // Next returns the instance with the highest version from which to pull at the
-// time t, where h is the version of this daemon. The last result is false if there
-// is nothing to pull now.
+// time t, where h is the version of this daemon. No pull from it may be running; the
+// caller reports the end of the new one by Ended or Failed. The last result is false
+// if there is nothing to pull now.
 func (p *PullScheduler) Next(h lavenderridge.Version, t time.Time) (lavenderridge.InstanceID, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -79,13 +82,25 @@
 		switch {
 		case v.version <= h:
 			delete(p.holders, n)
-		case !t.Before(v.notBefore) && v.version > m:
+		case !v.pulling && !t.Before(v.notBefore) && v.version > m:
 			b, m = n, v.version
 		}
 	}
+	if v, o := p.holders[b]; o {
+		v.pulling = true
+	}
 	return b, b != ""
 }
 
+// Ended records that a pull from the instance n has ended and did not fail.
+func (p *PullScheduler) Ended(n lavenderridge.InstanceID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if v, o := p.holders[n]; o {
+		v.pulling = false
+	}
+}
+
 // Failed records that a pull from the instance n failed at the time t. The
 // instance is skipped for a while, and dropped after maxPullFailures. If s is
 // true, the instance was only busy, which does not count as a failure.
@@ -96,6 +111,7 @@
 	if !o {
 		return
 	}
+	v.pulling = false
 	if s {
 		v.notBefore = t.Add(pullBusyPause)
 		return
