Send a request that was refused for overload only to instances that have not just refused

Cause: a request that an owner had refused went on to up to five further instances, also to those that had just refused others, since refusals of owners cost no budget there. Each such attempt takes processor time and bytes of two daemons, of which small machines had none left (the log shows 3.5 failed attempts for each refused request).

The fix: after a refusal for overload that reached no backend server, the next attempt goes only to an instance that is not excluded; if there is none, the caller hears the refusal at once. The first attempt and those after other refusals choose as before, and so does the mode in which retries use a budget. The golden file rerouting/overload fails without it (six attempts in place of one).

--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -33,8 +33,10 @@
 	h.policy.RecordRequest(r.Service, h.clock.Now())
 	var a caller.Attempts
 	var x []lavenderridge.InstanceID
+	var l *lavenderridge.Refusal // of the last attempt
 	for {
 		q := *r
+		q.Rerouted = l != nil && h.policy.Reroutes(l)
 		q.Attempt = a.Count() + 1
 		q.NoRetry = r.NoRetry || a.Count() > 0
 		n, p, v := h.next.Attempt(c, s, &q, x)
@@ -42,10 +44,14 @@
 			return p, nil
 		}
 		f := lavenderridge.AsRefusal(v)
+		if n == "" && q.Rerouted {
+			return nil, a.Conclude(r, l)
+		}
 		if n == "" {
 			return nil, a.Conclude(r, f)
 		}
 		a.Add(n, f)
+		l = f
 		h.recordFailure(&q, n, f)
 		d, o := h.policy.Next(e, r, &a, f, h.clock.Now())
 		if !o || lavenderridge.Sleep(c, d) != nil {
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -34,10 +35,10 @@
 	handler    lavenderridge.Handler
 }
 
-func newSession() *session {
+func newSession(o ...callerpolicy.RetryOption) *session {
 	s := &session{now: time.Unix(4_000_000_000, 0), scripts: map[lavenderridge.InstanceID]string{}}
 	r := callerpolicy.NewBalancedRouter("a", "dc-0", s.now, callerpolicy.WithRandom(func(int) int { return 0 }))
-	p := callerpolicy.NewRetryPolicy(callerpolicy.WithJitter(func() float64 { return 0 }))
+	p := callerpolicy.NewRetryPolicy(append(o, callerpolicy.WithJitter(func() float64 { return 0 }))...)
 	self := func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a", DataCentre: "dc-0"} }
 	f := caller.NewForwardHandler(r, r, peerpolicy.NewHomeRouter(), s, s, self, target{s, "a"})
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f, s))
@@ -224,10 +225,15 @@
 	return b.String()
 }
 
-// TestSessions runs the golden files of sessions.
+// TestSessions runs the golden files of sessions. In those of the directory rerouting,
+// retries of attempts that reached no backend server use no budget.
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, p string) {
-		s := newSession()
+		var o []callerpolicy.RetryOption
+		if filepath.Base(filepath.Dir(p)) == "rerouting" {
+			o = append(o, callerpolicy.WithFreeRerouting())
+		}
+		s := newSession(o...)
 		datadriven.RunTest(t, p, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
 	})
 }
--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -55,15 +55,25 @@
 
 // Route implements lavenderridge.Router.
 func (b *BalancedRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Time) (*lavenderridge.Instance, error) {
-	n := b.choose(b.table(s, r.Service), r, x, t.Sub(b.start))
+	v, u := b.table(s, r.Service), t.Sub(b.start)
+	n := b.choose(v, r, x, u)
+	if n == nil && r.Rerouted {
+		return nil, noOtherTarget()
+	}
+	if n == nil {
+		n = v.earliestReadmitted(x)
+	}
+	if n == nil {
+		n = v.earliestReadmitted(nil)
+	}
 	if n == nil {
 		return nil, noTarget()
 	}
 	return n.instance, nil
 }
 
-// choose returns the target of the table v for the request r, or nil if the
-// table is empty. Instances in x are chosen only if there is no other.
+// choose returns a usable target of the table v outside x for the request r, or nil
+// if there is none.
 func (b *BalancedRouter) choose(v *routeTable, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Duration) *target {
 	if b.leastCost {
 		return v.chooseLeastCost(b.random, x, t, b.averageSize(r.Entry), timeToObjective(r, b.start.Add(t)))
@@ -71,6 +81,12 @@
 	return v.chooseNearest(b.random, x, t)
 }
 
+// noOtherTarget returns the refusal of a rerouted request for which there is no usable
+// target.
+func noOtherTarget() *lavenderridge.Refusal {
+	return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "every instance has refused requests recently")
+}
+
 // timeToObjective returns the time left at t until the objective of r, or zero
 // if r has none or it has passed.
 func timeToObjective(r *lavenderridge.Request, t time.Time) time.Duration {
--- a/internal/policy/caller/leastcost.go
+++ b/internal/policy/caller/leastcost.go
@@ -58,9 +58,8 @@
 )
 
 // chooseLeastCost returns the usable target outside x with the least expected
-// cost. The request and its response have n bytes together, and o is the time
-// left until the objective. If no target is usable, it returns the one whose
-// exclusion ends first, preferably outside x.
+// cost, or nil if there is none. The request and its response have n bytes together,
+// and o is the time left until the objective.
 //
 // The cost of a target is its expected loss plus the cost of the distance, in
 // requests.
@@ -81,13 +80,7 @@
 			}
 		}
 	}
-	if m != nil {
-		return m
-	}
-	if m = v.earliestReadmitted(x); m != nil {
-		return m
-	}
-	return v.earliestReadmitted(nil)
+	return m
 }
 
 // distanceCost returns the cost of sending n bytes over the distance d, in
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -74,6 +74,13 @@
 	return d, p.budget(r.Service, t).Take(t)
 }
 
+// Reroutes reports whether the attempt after one refused with f goes only to an
+// instance that is not known to refuse requests. Without a budget, nothing else bounds
+// the attempts that an overloaded service refuses.
+func (p *RetryPolicy) Reroutes(f *lavenderridge.Refusal) bool {
+	return p.freeRerouting && f.Reason == lavenderridge.ReasonOverloaded && !mayHaveReached(f)
+}
+
 // allows reports whether the number of attempts is below its bound. With free
 // rerouting, only attempts that may have reached a backend server count for
 // the bound of the entry, and maxReroutes more are allowed in total.
--- a/internal/policy/caller/routetable.go
+++ b/internal/policy/caller/routetable.go
@@ -109,8 +109,7 @@
 
 // chooseNearest returns a usable target outside x at the nearest distance where
 // one is not overloaded. If all are overloaded, it returns the one with the
-// lowest utilisation. If none is usable, it returns the one whose exclusion
-// ends first, preferably outside x.
+// lowest utilisation, or nil if none is usable.
 func (v *routeTable) chooseNearest(f func(int) int, x []lavenderridge.InstanceID, t time.Duration) *target {
 	var m *target
 	for _, g := range v.groups {
@@ -125,13 +124,7 @@
 			m = n
 		}
 	}
-	if m != nil {
-		return m
-	}
-	if m = v.earliestReadmitted(x); m != nil {
-		return m
-	}
-	return v.earliestReadmitted(nil)
+	return m
 }
 
 // pick returns the one with the lower utilisation of two random usable targets
