Pass the exclusion of instances to the router apart from the request

It need not: it is about one choice of an instance. Router and Attempter now take an Exclusion, which has the instances that refused and whether those that refuse others are excluded as well. The test is as it was.

--- a/internal/daemon/caller/bench_test.go
+++ b/internal/daemon/caller/bench_test.go
@@ -50,7 +50,7 @@
 	b.RunParallel(func(p *testing.PB) {
 		q := &lavenderridge.Request{Service: "service-055"}
 		for p.Next() {
-			n, e := r.Route(s.snapshot, q, nil, s.now)
+			n, e := r.Route(s.snapshot, q, lavenderridge.Exclusion{}, s.now)
 			if e != nil {
 				b.Error(e)
 				return
@@ -72,7 +72,7 @@
 		b.StopTimer()
 		s.publish()
 		b.StartTimer()
-		if _, e := r.Route(s.snapshot, q, nil, s.now); e != nil {
+		if _, e := r.Route(s.snapshot, q, lavenderridge.Exclusion{}, s.now); e != nil {
 			b.Fatal(e)
 		}
 	}
--- a/internal/daemon/caller/forwardhandler.go
+++ b/internal/daemon/caller/forwardhandler.go
@@ -40,7 +40,7 @@
 }
 
 // Attempt implements Attempter.
-func (h *ForwardHandler) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, x []lavenderridge.InstanceID) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
+func (h *ForwardHandler) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, x lavenderridge.Exclusion) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
 	t := h.clock.Now()
 	n, e := h.routerOf(r).Route(s, r, x, t)
 	if e != nil {
--- a/internal/daemon/caller/retry_test.go
+++ b/internal/daemon/caller/retry_test.go
@@ -38,7 +38,7 @@
 
 // Attempt draws a response, a refusal with the outcome NotRun and no run, or one with
 // the outcome Unknown, after which the request may have run.
-func (m *retryModel) Attempt(_ context.Context, _ *lavenderridge.Snapshot, r *lavenderridge.Request, _ []lavenderridge.InstanceID) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
+func (m *retryModel) Attempt(_ context.Context, _ *lavenderridge.Snapshot, r *lavenderridge.Request, _ lavenderridge.Exclusion) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
 	m.attempts++
 	n := lavenderridge.InstanceID(fmt.Sprintf("n-%d", m.attempts))
 	if rapid.IntRange(0, 3).Draw(m.t, "result") == 0 {
@@ -136,7 +136,7 @@
 
 func (l *layer) Snapshot() *lavenderridge.Snapshot { return nil }
 
-func (l *layer) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, _ []lavenderridge.InstanceID) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
+func (l *layer) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, _ lavenderridge.Exclusion) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
 	l.runs++
 	if l.next != nil {
 		q := &lavenderridge.Request{ID: "r", Service: "s", Idempotent: true, Deadline: r.Deadline, NoRetry: r.NoRetry && l.forwardNoRetry}
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -32,11 +32,10 @@
 func (h *RetryHandler) HandleMatched(c context.Context, s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	h.policy.RecordRequest(r.Service, h.clock.Now())
 	var a caller.Attempts
-	var x []lavenderridge.InstanceID
+	var x lavenderridge.Exclusion
 	var l *lavenderridge.Refusal // of the last attempt
 	for {
 		q := *r
-		q.Rerouted = l != nil && h.policy.Reroutes(l)
 		q.Attempt = a.Count() + 1
 		q.NoRetry = r.NoRetry || a.Count() > 0
 		n, p, v := h.next.Attempt(c, s, &q, x)
@@ -44,8 +43,9 @@
 			return p, nil
 		}
 		f := lavenderridge.AsRefusal(v)
-		if n == "" && q.Rerouted {
-			return nil, a.Conclude(r, l)
+		if n == "" && x.Refusing {
+			// No instance is left. The last one that refused tells more.
+			f = l
 		}
 		if n == "" {
 			return nil, a.Conclude(r, f)
@@ -57,7 +57,8 @@
 		if !o || lavenderridge.Sleep(c, d) != nil {
 			return nil, a.Conclude(r, f)
 		}
-		x = h.exclude(x, s, n, f)
+		x.Instances = h.exclude(x.Instances, s, n, f)
+		x.Refusing = h.policy.Reroutes(f)
 		s = h.latestSnapshot(s, r.Service)
 	}
 }
--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -54,14 +54,14 @@
 }
 
 // Route implements lavenderridge.Router.
-func (b *BalancedRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x []lavenderridge.InstanceID, t time.Time) (*lavenderridge.Instance, error) {
+func (b *BalancedRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x lavenderridge.Exclusion, t time.Time) (*lavenderridge.Instance, error) {
 	v, u := b.table(s, r.Service), t.Sub(b.start)
-	n := b.choose(v, r, x, u)
-	if n == nil && r.Rerouted {
+	n := b.choose(v, r, x.Instances, u)
+	if n == nil && x.Refusing {
 		return nil, noOtherTarget()
 	}
 	if n == nil {
-		n = v.earliestReadmitted(x)
+		n = v.earliestReadmitted(x.Instances)
 	}
 	if n == nil {
 		n = v.earliestReadmitted(nil)
@@ -81,8 +81,7 @@
 	return v.chooseNearest(b.random, x, t)
 }
 
-// noOtherTarget returns the refusal of a rerouted request for which there is no usable
-// target.
+// noOtherTarget returns the refusal of a request for which every target is excluded.
 func noOtherTarget() *lavenderridge.Refusal {
 	return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "every instance has refused requests recently")
 }
--- a/internal/policy/caller/roundrobinrouter.go
+++ b/internal/policy/caller/roundrobinrouter.go
@@ -22,18 +22,18 @@
 }
 
 // Route implements lavenderridge.Router.
-func (b *RoundRobinRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x []lavenderridge.InstanceID, _ time.Time) (*lavenderridge.Instance, error) {
+func (b *RoundRobinRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, x lavenderridge.Exclusion, _ time.Time) (*lavenderridge.Instance, error) {
 	var a, o []*lavenderridge.Instance
 	for _, n := range s.Instances(r.Service) {
 		switch {
 		case !s.Eligible(n):
-		case slices.Contains(x, n.ID):
+		case slices.Contains(x.Instances, n.ID):
 			o = append(o, n)
 		default:
 			a = append(a, n)
 		}
 	}
-	if len(a) == 0 {
+	if len(a) == 0 && !x.Refusing {
 		a = o
 	}
 	if len(a) == 0 {
--- a/internal/policy/caller/routing_test.go
+++ b/internal/policy/caller/routing_test.go
@@ -93,7 +93,7 @@
 
 func (m *routingModel) route(t *rapid.T, x []lavenderridge.InstanceID) {
 	ok := m.eligible()
-	n, e := m.router.Route(m.snapshot, &lavenderridge.Request{Service: "s"}, x, m.now)
+	n, e := m.router.Route(m.snapshot, &lavenderridge.Request{Service: "s"}, lavenderridge.Exclusion{Instances: x}, m.now)
 	if len(ok) == 0 {
 		if f := lavenderridge.AsRefusal(e); e == nil || f.Outcome != lavenderridge.OutcomeNotRun || f.Reason != lavenderridge.ReasonNoTarget {
 			t.Fatalf("routed to %v, error %v; want NotRun NoTarget", n, e)
@@ -188,7 +188,7 @@
 	q := &lavenderridge.Request{Service: "s"}
 	route := func(want lavenderridge.InstanceID) {
 		t.Helper()
-		n, e := m.router.Route(m.snapshot, q, nil, m.now)
+		n, e := m.router.Route(m.snapshot, q, lavenderridge.Exclusion{}, m.now)
 		if e != nil || n.ID != want {
 			t.Fatalf("routed to %v, error %v; want %s", n, e, want)
 		}
--- a/internal/policy/peer/homerouter.go
+++ b/internal/policy/peer/homerouter.go
@@ -21,7 +21,7 @@
 
 // Route implements lavenderridge.Router. It ignores the instances to exclude,
 // because only the home knows whether the request has run.
-func (*HomeRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, _ []lavenderridge.InstanceID, _ time.Time) (*lavenderridge.Instance, error) {
+func (*HomeRouter) Route(s *lavenderridge.Snapshot, r *lavenderridge.Request, _ lavenderridge.Exclusion, _ time.Time) (*lavenderridge.Instance, error) {
 	n := Home(s, r.Service, r.Key)
 	if n == nil {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonNoTarget, "no eligible instance")
--- a/request.go
+++ b/request.go
@@ -26,10 +26,6 @@
 	Depth    Depth
 	// NoRetry is true if a layer above is responsible for retrying this request.
 	NoRetry bool
-	// Rerouted is true if the previous attempt was refused because its target is
-	// overloaded. The request then goes only to an instance that is not known to
-	// refuse requests.
-	Rerouted bool
 	// Objective is the time by which the response should have arrived; zero
 	// means that there is no objective.
 	Objective time.Time
