Don't handle requests whose callers left before they were read

Cause: the HTTP library looks for the end of a connection only while the request is being handled. On a machine whose processor or link is short, requests wait in the socket, and a caller may leave meanwhile; the handler has then forwarded the request before the library notices.

Evidence: TestRequestOfDepartedCallerIsNotHandled, in which 40 callers send and leave before the server reads, failed 5 of 5 times without the change (20 to 41 requests were handled; want 1) and passed 5 of 5 with it, with the race detector.

The fix: before a request is handled, the connection is peeked at, without waiting.

--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -65,6 +65,7 @@
 	s.ReadHeaderTimeout = readHeaderTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeader
+	s.ConnContext = withConnection
 	return s
 }
 
@@ -80,6 +81,10 @@
 		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
 		return
 	}
+	if callerHasLeft(q.Context()) {
+		s.writeRefusal(w, r.ID, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonCancelled, "the caller has left"))
+		return
+	}
 	p, e := s.handler.Handle(q.Context(), r)
 	if e != nil {
 		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
--- a/internal/transport/callerhttp/server_test.go
+++ b/internal/transport/callerhttp/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,3 +103,52 @@
 		t.Error(e)
 	}
 }
+
+type countingHandler struct{ handled atomic.Int64 }
+
+func (h *countingHandler) Handle(_ context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
+	h.handled.Add(1)
+	return &lavenderridge.Response{ID: r.ID, Status: http.StatusOK}, nil
+}
+
+// The requests were sent, and their callers left, before the daemon got to read them.
+func TestRequestOfDepartedCallerIsNotHandled(t *testing.T) {
+	l, e := net.Listen("tcp", "127.0.0.1:0")
+	if e != nil {
+		t.Fatal(e)
+	}
+	send := func(b string) net.Conn {
+		t.Helper()
+		n, e := net.Dial("tcp", l.Addr().String())
+		if e != nil {
+			t.Fatal(e)
+		}
+		if _, e := fmt.Fprintf(n, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(b), b); e != nil {
+			t.Fatal(e)
+		}
+		return n
+	}
+	for range 20 {
+		_ = send("").Close()
+		_ = send("body").Close()
+	}
+	n := send("body")
+	defer func() { _ = n.Close() }()
+	h := &countingHandler{}
+	s := NewServer(l, h, lavenderridge.Mebibyte)
+	c, f := context.WithCancel(t.Context())
+	d := make(chan error, 1)
+	go func() { d <- s.Run(c, 5*time.Second) }()
+	p, e := http.ReadResponse(bufio.NewReader(n), nil)
+	if e != nil {
+		t.Fatal(e)
+	}
+	_ = p.Body.Close()
+	f()
+	if e := <-d; e != nil {
+		t.Error(e)
+	}
+	if k := h.handled.Load(); k != 1 {
+		t.Errorf("%d requests were handled; want only that of the caller that waits", k)
+	}
+}
