--- a/internal/daemon/peer/pull_test.go
+++ b/internal/daemon/peer/pull_test.go
@@ -46,17 +46,24 @@
 	}
 }
 
+// startLaggingNode returns a running fleet of four, the first of which reads no further
+// catalogue at the source.
+func startLaggingNode() *fleet {
+	f := newFleet(4, 1, 1)
+	for _, n := range f.nodes {
+		n.launch()
+	}
+	f.run(5 * time.Second)
+	f.nodes[0].versionLimits[lavenderridge.DocumentCatalogue] = 1
+	return f
+}
+
 // Two of three neighbours don't reply to pulls in time.
 func TestSlowNeighboursDelayNoCatalogue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bound = 2 * time.Second // of the 2.5 s in which a change must be in force everywhere
-		f := newFleet(4, 1, 1)
+		f := startLaggingNode()
 		defer f.close()
-		for _, n := range f.nodes {
-			n.launch()
-		}
-		f.run(5 * time.Second)
-		f.nodes[0].versionLimits[lavenderridge.DocumentCatalogue] = 1
 		for i := range 30 {
 			f.nodes[0].pullDelays = map[int]time.Duration{1: 4 * time.Second, 2: 4 * time.Second, 3: 4 * time.Second}
 			delete(f.nodes[0].pullDelays, 1+i%3)
@@ -75,13 +82,8 @@
 func TestSlowPullEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const bound = 2500 * time.Millisecond
-		f := newFleet(4, 1, 1)
+		f := startLaggingNode()
 		defer f.close()
-		for _, n := range f.nodes {
-			n.launch()
-		}
-		f.run(5 * time.Second)
-		f.nodes[0].versionLimits[lavenderridge.DocumentCatalogue] = 1
 		f.nodes[0].pullDelays = map[int]time.Duration{1: 2 * time.Second, 2: 2 * time.Second, 3: 2 * time.Second}
 		f.publishCatalogue(true)
 		f.run(bound)
