--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -151,7 +151,7 @@
 	}
 	for _, p := range s.pullers {
 		if p.scheduler.MessageReceived(v, s.versions().Of(p.document)) {
-			p.wake()
+			wake(p.needed)
 		}
 	}
 }
--- a/internal/daemon/peer/gossiperpull.go
+++ b/internal/daemon/peer/gossiperpull.go
@@ -28,32 +28,6 @@
 	return &puller{document: d, scheduler: peer.NewPullScheduler(d), needed: make(chan struct{}, 1)}
 }
 
-// wake wakes the pull loop. It does not block.
-func (p *puller) wake() {
-	signal(p.needed)
-}
-
-// signal sends to the buffered channel h unless it is full.
-func signal(h chan<- struct{}) {
-	select {
-	case h <- struct{}{}:
-	default:
-	}
-}
-
-// awaitSignal waits for a signal of h, for at most d. It reports whether there was one.
-func awaitSignal(c context.Context, h <-chan struct{}, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-h:
-		return true
-	case <-t.C:
-	case <-c.Done():
-	}
-	return false
-}
-
 // pullLoop pulls newer versions of the document of p whenever it is woken.
 func (s *Gossiper) pullLoop(c context.Context, p *puller) error {
 	for {
@@ -82,15 +56,15 @@
 	for c.Err() == nil && p.scheduler.Pending(s.versions().Of(p.document)) {
 		n, o := p.scheduler.Next(s.versions().Of(p.document), s.clock.Now())
 		if !o {
-			awaitSignal(c, h, pullRetryInterval)
+			sleepUntilWoken(c, pullRetryInterval, h)
 			continue
 		}
 		g.Go(func() error {
-			defer signal(h)
+			defer wake(h)
 			s.pull(c, n, p)
 			return nil
 		})
-		if awaitSignal(c, h, d) {
+		if sleepUntilWoken(c, d, h) {
 			d = hedgeDelay
 		} else {
 			d = min(2*d, pullTimeout)
