Leave an odd entry among the instances out instead of rejecting the list

Cause: the adapter accepted entries that the check of the instance list rejects (slots above 65,536, names above 200 bytes, addresses with a zone), so one entry of another writer made every reader reject this list and all later ones. A second entry with the address of a listed backend server and an unknown service replaced it. An error that quotes the value made a log line of 1 MB.

Change: the mirror checks each fact with the list's own check and leaves out what fails, with a line for each revision and the counter SourceFactsRejected. Of two facts of one instance, the one whose service the catalogue contains is used. Unusable entries no longer make a list version.

--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -71,14 +71,18 @@
 }
 
 // offer calls f to offer the version n of the document d and reports the result,
-// unless that version or a newer one has been accepted.
+// unless that version or a newer one has been accepted. A rejection is reported once,
+// although the version is offered again after each call to the source.
 func (a *Acceptor) offer(d lavenderridge.DocumentName, n lavenderridge.Version, f func(o configservice.Offer) (configservice.OfferResult, error)) {
 	if n <= a.store.Acceptance(d).Stamp.Version {
 		return
 	}
 	o := configservice.Offer{Version: n, Origin: lavenderridge.OriginSource, Time: a.clock.Now()}
+	r := a.store.HasRejection(d, o)
 	v, e := f(o)
-	a.report(d, o, v, e)
+	if !r || v != configservice.OfferRejected {
+		a.report(d, o, v, e)
+	}
 }
 
 // OfferPulled offers the document d that was pulled from the neighbour g as p.
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -7,14 +7,19 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 )
 
-// maxPages is the limit on the number of pages of one listing.
-const maxPages = 64
+const (
+	// maxPages is the limit on the number of pages of one listing.
+	maxPages = 64
+	// maxRejectionLines bounds the log lines about unusable facts of one call.
+	maxRejectionLines = 8
+)
 
 // A Follower copies the facts of a FactSource and offers the documents that it
 // builds from them. It lists the facts once. Afterwards it watches them while the
@@ -31,6 +36,7 @@
 	contact   *configservice.SourceContact
 	clock     lavenderridge.Clock
 	log       *zap.Logger
+	rejected  metrics.Counter
 
 	instance        lavenderridge.InstanceID
 	dataCentre      lavenderridge.DataCentreID
@@ -45,11 +51,13 @@
 // NewFollower returns a follower of the source s for the daemon of the instance n
 // in the data centre d. The function h returns the time of the last message from
 // a neighbour. The fleet size z is assumed until there is an instance list: it is
-// the number of daemons that may start concurrently.
-func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, z int) *Follower {
+// the number of daemons that may start concurrently. Facts that cannot be used are
+// counted in the registry r.
+func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, z int, r metrics.Registry) *Follower {
 	return &Follower{
 		source: s, mirror: configservice.NewMirror(), store: t, acceptor: a, gate: g, contact: p, clock: k, log: l,
 		instance: n, dataCentre: d, lastPeerMessage: h, fleetSize: z,
+		rejected: metrics.NewRegisteredCounter("SourceFactsRejected", r),
 	}
 }
 
@@ -153,7 +161,7 @@
 		if e != nil {
 			return e
 		}
-		f.logPage("list", p, t)
+		f.logCatalogue("list", p, t)
 		a = append(a, p.Facts...)
 		if i == 0 {
 			r = p.AsOf
@@ -163,10 +171,10 @@
 		}
 		if !p.More || len(p.Facts) == 0 {
 			if l == p.AsOf {
-				f.mirror.ApplyListing(a, r, l, f.clock.Now())
+				f.reject(f.mirror.ApplyListing(a, r, l, f.clock.Now()))
 				return nil
 			}
-			f.mirror.ApplyListing(a, r, r, f.clock.Now())
+			f.reject(f.mirror.ApplyListing(a, r, r, f.clock.Now()))
 			return f.watch(c, 0)
 		}
 		k = p.Facts[len(p.Facts)-1].Key
@@ -181,18 +189,27 @@
 	if e != nil {
 		return e
 	}
-	f.logPage("watch", p, t)
-	f.mirror.ApplyChanges(p, f.clock.Now())
+	f.logCatalogue("watch", p, t)
+	f.reject(f.mirror.ApplyChanges(p, f.clock.Now()))
 	return nil
 }
 
-// logPage logs the facts of p that could not be parsed. If p includes a catalogue, it
-// also logs the call n, made at the time t, that returned it.
-func (f *Follower) logPage(n string, p *lavenderridge.FactPage, t time.Time) {
-	for _, v := range p.Facts {
-		if len(v.Findings) > 0 {
-			f.log.Warn("FactRejected", zap.String("Key", string(v.Key)), zap.Uint64("Revision", uint64(v.Revision)), zap.Error(v.Findings))
+// reject counts and logs the facts a, which cannot be used.
+func (f *Follower) reject(a []lavenderridge.Fact) {
+	f.rejected.Inc(int64(len(a)))
+	for i, v := range a {
+		if i == maxRejectionLines {
+			f.log.Warn("FactsRejected", zap.Int("More", len(a)-i))
+			return
 		}
+		f.log.Warn("FactRejected", zap.String("Key", string(v.Key)), zap.Uint64("Revision", uint64(v.Revision)), zap.Error(v.Findings))
+	}
+}
+
+// logCatalogue logs the call n, made at the time t, if the page p that it returned
+// includes a catalogue.
+func (f *Follower) logCatalogue(n string, p *lavenderridge.FactPage, t time.Time) {
+	for _, v := range p.Facts {
 		if v.Catalogue != nil {
 			f.log.Info("CatalogueRead", zap.String("Call", n), zap.Uint64("Version", uint64(v.Catalogue.Version)), zap.Int("Superseded", p.Superseded),
 				zap.Uint64("Revision", uint64(p.AsOf)), zap.Int64("Bytes", int64(p.Size)), zap.Int64("LatencyMicroseconds", f.clock.Now().Sub(t).Microseconds()))
--- a/internal/daemon/configservice/follower_test.go
+++ b/internal/daemon/configservice/follower_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -42,7 +43,7 @@
 		f.putInstance(i)
 	}
 	a := configservice.NewAcceptor(f.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, 1)
+	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, 1, metrics.NewRegistry())
 	c, x := context.WithCancel(t.Context())
 	d := make(chan error, 1)
 	go func() { d <- v.Run(c) }()
--- a/internal/policy/configservice/mirror.go
+++ b/internal/policy/configservice/mirror.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/instancelist"
 )
 
 const (
@@ -21,7 +22,9 @@
 )
 
 // A Mirror is a copy of the facts in a FactSource, from which it builds the
-// catalogue and the instance list. It is not safe for concurrent use.
+// catalogue and the instance list. A fact that would make the instance list invalid
+// is left out, so that it has no effect on the others. It is not safe for concurrent
+// use.
 type Mirror struct {
 	facts map[lavenderridge.FactKey]lavenderridge.Fact
 	asOf  lavenderridge.Revision
@@ -32,6 +35,8 @@
 	lapsed      map[lavenderridge.FactKey]lavenderridge.Fact
 	lapsedUntil time.Time
 	sourceDown  bool
+	// services holds the services of the latest usable catalogue.
+	services map[lavenderridge.ServiceID]bool
 }
 
 // NewMirror returns an empty mirror, whose source has not been read yet.
@@ -57,8 +62,10 @@
 
 // ApplyListing replaces all facts by those of a complete listing that ended at
 // the time t. Every page includes the changes up to the revision r, and those with
-// facts of the instance list include the changes up to the revision l.
-func (m *Mirror) ApplyListing(a []lavenderridge.Fact, r, l lavenderridge.Revision, t time.Time) {
+// facts of the instance list include the changes up to the revision l. It returns
+// the facts that cannot be used, with their findings, except for those that were
+// returned before.
+func (m *Mirror) ApplyListing(a []lavenderridge.Fact, r, l lavenderridge.Revision, t time.Time) []lavenderridge.Fact {
 	m.sourceResponded(t)
 	k := make(map[lavenderridge.FactKey]bool, len(a))
 	for _, f := range a {
@@ -69,32 +76,42 @@
 			m.remove(d, t)
 		}
 	}
+	var v []lavenderridge.Fact
 	for _, f := range a {
-		m.put(f)
+		if _, o := m.put(&f); o {
+			v = append(v, f)
+		}
 	}
 	m.asOf, m.listRevision = r, max(m.listRevision, l)
+	return v
 }
 
 // ApplyChanges applies the changes that a watch returned at the time t. Changes that
-// the mirror already includes have no effect.
-func (m *Mirror) ApplyChanges(p *lavenderridge.FactPage, t time.Time) {
+// the mirror already includes have no effect. It returns the facts that cannot be
+// used, as ApplyListing does.
+func (m *Mirror) ApplyChanges(p *lavenderridge.FactPage, t time.Time) []lavenderridge.Fact {
 	m.sourceResponded(t)
+	var v []lavenderridge.Fact
 	for _, f := range p.Facts {
+		o, k := m.facts[f.Key]
+		if k && o.Revision > f.Revision {
+			continue
+		}
+		n, j := isListed(&o) || !k, false
 		if f.Deleted {
-			o := m.facts[f.Key]
-			if o.Revision > f.Revision {
-				continue
-			}
 			m.remove(f.Key, t)
-			f.Catalogue = o.Catalogue
 		} else {
-			m.put(f)
+			n, j = m.put(&f)
 		}
-		if f.Catalogue == nil {
+		if n {
 			m.listRevision = max(m.listRevision, f.Revision)
 		}
+		if j {
+			v = append(v, f)
+		}
 	}
 	m.asOf = max(m.asOf, p.AsOf)
+	return v
 }
 
 // sourceResponded ends an outage: lapsed instances are kept for lapseGrace from
@@ -105,13 +122,58 @@
 	}
 }
 
-// put stores the fact f unless a later revision of it is stored already.
-func (m *Mirror) put(f lavenderridge.Fact) {
-	if o, k := m.facts[f.Key]; k && o.Revision > f.Revision {
-		return
+// put validates the fact f and stores it unless a later revision of it is stored
+// already. It reports whether f may change the instance list (n), and whether f is a
+// revision that cannot be used and was not stored before (j).
+func (m *Mirror) put(f *lavenderridge.Fact) (n, j bool) {
+	o, k := m.facts[f.Key]
+	if k && o.Revision > f.Revision {
+		return false, false
 	}
+	validateFact(f)
+	// A revision that is stored already was part of a listing, whose revision may
+	// be lower.
+	n = isListed(&o) || isListed(f) || k && o.Revision == f.Revision && f.Catalogue == nil
+	n = m.useServices(f.Catalogue) || n
 	delete(m.lapsed, f.Key)
-	m.facts[f.Key] = f
+	m.facts[f.Key] = *f
+	return n, len(f.Findings) > 0 && (!k || o.Revision < f.Revision)
+}
+
+// validateFact adds the findings about the part of the instance list that f contains
+// to f and removes that part if there are any.
+func validateFact(f *lavenderridge.Fact) {
+	var a lavenderridge.Findings
+	if f.Instance != nil {
+		a = instancelist.ValidateInstance(f.Instance)
+	}
+	if f.Evacuated != "" {
+		a = append(a, instancelist.ValidateEvacuated(f.Evacuated)...)
+	}
+	if len(a) > 0 {
+		f.Instance, f.Evacuated = nil, ""
+		f.Findings = append(f.Findings, a...)
+	}
+}
+
+// isListed reports whether the instance list contains a part of the fact f.
+func isListed(f *lavenderridge.Fact) bool {
+	return f.Instance != nil || f.Evacuated != ""
+}
+
+// useServices makes the services of the catalogue p, which may be nil, the known
+// ones. It reports whether they changed.
+func (m *Mirror) useServices(p *lavenderridge.PublishedCatalogue) bool {
+	if p == nil {
+		return false
+	}
+	s := make(map[lavenderridge.ServiceID]bool, len(p.Catalogue.Services))
+	for i := range p.Catalogue.Services {
+		s[p.Catalogue.Services[i].ID] = true
+	}
+	o := m.services
+	m.services = s
+	return !maps.Equal(o, s)
 }
 
 // remove deletes the fact with the key k. An instance that disappears during or
@@ -145,7 +207,8 @@
 }
 
 // InstanceList returns the instance list at the time t and its version. If two
-// facts describe the same instance, the one created last is used.
+// facts describe the same instance, the one whose service the catalogue contains is
+// used, or else the one created last.
 func (m *Mirror) InstanceList(t time.Time) (*lavenderridge.InstanceList, lavenderridge.Version) {
 	if !t.Before(m.lapsedUntil) {
 		clear(m.lapsed)
@@ -156,10 +219,10 @@
 		if f.Evacuated != "" {
 			l.Evacuated = append(l.Evacuated, f.Evacuated)
 		}
-		keepNewest(b, f)
+		m.keepNewest(b, f)
 	}
 	for _, f := range m.lapsed {
-		keepNewest(b, f)
+		m.keepNewest(b, f)
 	}
 	for _, d := range slices.Sorted(maps.Keys(b)) {
 		l.Instances = append(l.Instances, *b[d].Instance)
@@ -173,13 +236,27 @@
 }
 
 // keepNewest stores the instance fact f in b unless b has a fact of the same
-// instance that was created later.
-func keepNewest(b map[lavenderridge.InstanceID]*lavenderridge.Fact, f lavenderridge.Fact) {
+// instance that takes precedence: one of a known service over others, then one that
+// was created later.
+func (m *Mirror) keepNewest(b map[lavenderridge.InstanceID]*lavenderridge.Fact, f lavenderridge.Fact) {
 	if f.Instance == nil {
 		return
 	}
 	o := b[f.Instance.ID]
-	if o == nil || cmp.Or(cmp.Compare(f.Created, o.Created), cmp.Compare(f.Key, o.Key)) > 0 {
+	if o == nil || cmp.Or(m.compareServices(&f, o), cmp.Compare(f.Created, o.Created), cmp.Compare(f.Key, o.Key)) > 0 {
 		b[f.Instance.ID] = &f
 	}
 }
+
+// compareServices returns 1 if only the service of f is known, -1 if only that of o
+// is, and otherwise 0.
+func (m *Mirror) compareServices(f, o *lavenderridge.Fact) int {
+	switch a, b := m.services[f.Instance.Service], m.services[o.Instance.Service]; {
+	case a && !b:
+		return 1
+	case b && !a:
+		return -1
+	default:
+		return 0
+	}
+}
--- a/internal/policy/configservice/mirror_test.go
+++ b/internal/policy/configservice/mirror_test.go
@@ -14,7 +14,8 @@
 
 // mirrorFacts parses one fact from each line: "key created revision value", where
 // value is an instance ID, "catalogue:VERSION", "evacuated:DATACENTRE", "nothing"
-// or "deleted".
+// or "deleted". An instance ID may be followed by ":SERVICE:SLOTS"; the catalogue
+// contains the service "roster".
 func mirrorFacts(t *testing.T, d *datadriven.TestData) []lavenderridge.Fact {
 	t.Helper()
 	var a []lavenderridge.Fact
@@ -32,10 +33,17 @@
 		case "evacuated":
 			f.Evacuated = lavenderridge.DataCentreID(v)
 		case "catalogue":
-			f.Catalogue = &lavenderridge.PublishedCatalogue{Catalogue: &lavenderridge.Catalogue{}}
+			f.Catalogue = &lavenderridge.PublishedCatalogue{Catalogue: &lavenderridge.Catalogue{Services: []lavenderridge.Service{{ID: "roster"}}}}
 			_, _ = fmt.Sscan(v, &f.Catalogue.Version)
 		default:
-			f.Instance = &lavenderridge.Instance{ID: lavenderridge.InstanceID(k), Backend: lavenderridge.BackendID(f.Key), State: lavenderridge.InstanceLive}
+			f.Instance = &lavenderridge.Instance{
+				ID: lavenderridge.InstanceID(k), DataCentre: "kyu-a", Service: "roster", Peer: "10.0.0.1:7620",
+				Backend: lavenderridge.BackendID(f.Key), State: lavenderridge.InstanceLive,
+			}
+			if s, n, o := strings.Cut(v, ":"); o {
+				f.Instance.Service = lavenderridge.ServiceID(s)
+				_, _ = fmt.Sscan(n, &f.Instance.Slots)
+			}
 		}
 		a = append(a, f)
 	}
@@ -52,11 +60,12 @@
 			d.MaybeScanArgs(t, "as-of", &r)
 			l := r
 			d.MaybeScanArgs(t, "list", &l)
+			var j []lavenderridge.Fact
 			switch d.Cmd {
 			case "listed":
-				m.ApplyListing(mirrorFacts(t, d), lavenderridge.Revision(r), lavenderridge.Revision(l), n)
+				j = m.ApplyListing(mirrorFacts(t, d), lavenderridge.Revision(r), lavenderridge.Revision(l), n)
 			case "changed":
-				m.ApplyChanges(&lavenderridge.FactPage{Facts: mirrorFacts(t, d), AsOf: lavenderridge.Revision(r)}, n)
+				j = m.ApplyChanges(&lavenderridge.FactPage{Facts: mirrorFacts(t, d), AsOf: lavenderridge.Revision(r)}, n)
 			case "failed":
 				m.SourceFailed()
 			case "advance":
@@ -80,6 +89,9 @@
 			if c := m.Catalogue(); c != nil {
 				fmt.Fprintf(&b, ", catalogue %d", c.Version)
 			}
+			for _, f := range j {
+				fmt.Fprintf(&b, "\nrejected %s %d: %s", f.Key, f.Revision, f.Findings)
+			}
 			return b.String() + "\n"
 		})
 	})
--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -158,6 +158,14 @@
 	return true
 }
 
+// HasRejection reports whether a rejection of the same version of the document d from
+// the same origin is kept.
+func (s *Store) HasRejection(d lavenderridge.DocumentName, o Offer) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.hasRejection(d, o)
+}
+
 func (s *Store) hasRejection(d lavenderridge.DocumentName, o Offer) bool {
 	for _, v := range s.rejections {
 		if v.Document == d && v.Version == o.Version && v.Origin == o.Origin {
--- a/internal/policy/configservice/validate.go
+++ b/internal/policy/configservice/validate.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/instancelist"
 )
 
 // Limits of a catalogue.
@@ -17,9 +18,9 @@
 	maxEntries     = 1 << 13
 	maxMethods     = 16
 	maxShares      = 64
-	maxName        = 200
+	maxName        = instancelist.MaxNameBytes
 	maxPath        = 1 << 10
-	maxSlots       = 1 << 16
+	maxSlots       = instancelist.MaxSlots
 )
 
 // validator collects the findings for one catalogue.
--- a/internal/policy/instancelist/validate.go
+++ b/internal/policy/instancelist/validate.go
@@ -4,16 +4,18 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// Limits of an instance list: instances, bytes in a name, and slots of an
-// instance.
+// Limits of an instance list: instances, bytes in a name, and the slots and the
+// remaining cold time of an instance.
 const (
 	maxInstances = 1 << 14
-	maxNameBytes = 200
-	maxSlots     = 1 << 16
+	MaxNameBytes = 200
+	MaxSlots     = 1 << 16
+	maxColdLeft  = 24 * time.Hour
 )
 
 // Validate returns every fault of l: too many instances, empty, duplicate or
@@ -29,36 +31,59 @@
 	m := make(map[lavenderridge.InstanceID]bool, len(l.Instances))
 	for i := range l.Instances {
 		n := &l.Instances[i]
-		p := fmt.Sprintf("Instances[%q]", n.ID)
 		if m[n.ID] {
-			f.Add(p+".ID", "duplicate instance")
+			f.Add(instancePlace(n)+".ID", "duplicate instance")
 		}
 		m[n.ID] = true
-		validateInstance(&f, p, n)
+		f = append(f, ValidateInstance(n)...)
 	}
 	for _, d := range l.Evacuated {
-		checkName(&f, fmt.Sprintf("Evacuated[%q]", d), string(d))
+		f = append(f, ValidateEvacuated(d)...)
 	}
 	return f
 }
 
-// validateInstance adds the faults of the instance n at the place p to f.
-func validateInstance(f *lavenderridge.Findings, p string, n *lavenderridge.Instance) {
-	checkName(f, p+".ID", string(n.ID))
-	checkName(f, p+".DataCentre", string(n.DataCentre))
-	checkName(f, p+".Service", string(n.Service))
+// ValidateInstance returns every fault that the instance n has on its own. A list
+// of instances without any is valid if their IDs differ and there are not too many.
+func ValidateInstance(n *lavenderridge.Instance) lavenderridge.Findings {
+	var f lavenderridge.Findings
+	p := instancePlace(n)
+	checkName(&f, p+".ID", string(n.ID))
+	checkName(&f, p+".DataCentre", string(n.DataCentre))
+	checkName(&f, p+".Service", string(n.Service))
+	if len(n.Backend) > MaxNameBytes {
+		f.Add(p+".Backend", "%d bytes are above the limit of %d", len(n.Backend), MaxNameBytes)
+	}
 	if n.State != lavenderridge.InstanceLive && n.State != lavenderridge.InstanceLeaving {
-		f.Add(p+".State", "%q is not a state; want Live or Leaving", n.State)
+		f.Add(p+".State", "%s is not a state; want Live or Leaving", shorten(string(n.State)))
 	}
-	if n.Slots < 0 || n.Slots > maxSlots {
-		f.Add(p+".Slots", "%d is not between 0 and %d", n.Slots, maxSlots)
+	if n.Slots < 0 || n.Slots > MaxSlots {
+		f.Add(p+".Slots", "%d is not between 0 and %d", n.Slots, MaxSlots)
 	}
-	if n.ColdLeft < 0 {
-		f.Add(p+".ColdLeft", "%s is below 0", n.ColdLeft)
+	if n.ColdLeft < 0 || n.ColdLeft > maxColdLeft {
+		f.Add(p+".ColdLeft", "%s is not between 0s and %s", n.ColdLeft, maxColdLeft)
 	}
 	if !isAddress(n.Peer) {
-		f.Add(p+".Peer", "%q is not an IP address with a port", n.Peer)
+		f.Add(p+".Peer", "%s is not an IP address with a port", shorten(string(n.Peer)))
 	}
+	return f
+}
+
+// ValidateEvacuated returns the faults of the name of an evacuated data centre.
+func ValidateEvacuated(d lavenderridge.DataCentreID) lavenderridge.Findings {
+	var f lavenderridge.Findings
+	checkName(&f, fmt.Sprintf("Evacuated[%s]", shorten(string(d))), string(d))
+	return f
+}
+
+// instancePlace returns the place of the faults of n.
+func instancePlace(n *lavenderridge.Instance) string {
+	return fmt.Sprintf("Instances[%s]", shorten(string(n.ID)))
+}
+
+// shorten returns s quoted, and cut where it is longer than any valid name.
+func shorten(s string) string {
+	return fmt.Sprintf("%.*q", MaxNameBytes, s)
 }
 
 // isAddress reports whether a has the form of an IP address with a port. The
@@ -77,7 +102,7 @@
 	switch {
 	case s == "":
 		f.Add(p, "is empty")
-	case len(s) > maxNameBytes:
-		f.Add(p, "%d bytes are above the limit of %d", len(s), maxNameBytes)
+	case len(s) > MaxNameBytes:
+		f.Add(p, "%d bytes are above the limit of %d", len(s), MaxNameBytes)
 	}
 }
