Take the times of a planned stop from the platform's grace time

Cause: StopDelay and StopTimeout were constants that fit a grace time of 6 s. With 10 s requests were cut at 5.1 s, long before its last sixth. And while running requests were waited for, a request whose body ended late, or that came on a connection opened earlier, was passed on and cut with the exit, or its connection was closed without a response.

After the stop delay every request is refused at once as not run, with a Retry-After, until the running ones have ended; only then are the listener and the connections closed. Drain moves to policy/operator, which both ends use now.

Before: TestLateRequests has "slow 3s: cut at 5.1s" for a grace time of 6 s, and five requests on open connections closed without a response.

--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -32,6 +33,8 @@
 	minReloadInterval     = 100 * time.Millisecond
 	maxReloadInterval     = time.Hour
 	maxStopDelay          = time.Minute
+	minGrace              = 3 * time.Second
+	maxGrace              = 15 * time.Minute
 	defaultColdFactor     = 1.0 // times the rate of the cold backend server
 	defaultColdSlack      = 0.0 // requests per second
 	maxColdFactor         = 10.0
@@ -137,11 +140,27 @@
 	d := &s.Daemon
 	d.Connections = lavenderridge.Connections(r.integer("Backend.Connections", defaultConnections, 1, maxConnections))
 	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
-	d.StopTimeout = r.duration("Limits.StopTimeout", defaultStopTimeout, minStopTimeout, maxStopTimeout)
+	s.readStop(r)
 	d.FleetSize = r.integer("ConfigService.FleetSize", defaultFleetSize, 1, maxFleetSize)
 	d.Decisions = r.integer("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 }
 
+// readStop reads the times of a planned stop. Their defaults follow from the grace time
+// if there is one, and must fit into it otherwise.
+func (s *Settings) readStop(r *reader) {
+	p := operator.StopPlan{Timeout: defaultStopTimeout}
+	g := r.duration("Limits.StopGrace", 0, minGrace, maxGrace)
+	if g > 0 {
+		p = operator.NewStopPlan(g)
+	}
+	p.Timeout = r.duration("Limits.StopTimeout", p.Timeout, minStopTimeout, maxStopTimeout)
+	p.Delay = r.duration("Limits.StopDelay", p.Delay, 0, maxStopDelay)
+	if g > 0 && !p.Fits(g) {
+		r.add("Limits.StopGrace", "%s is less than StopDelay (%s) and StopTimeout (%s) together", g, p.Delay, p.Timeout)
+	}
+	s.Daemon.StopDelay, s.Daemon.StopTimeout = p.Delay, p.Timeout
+}
+
 // readPlatform reads the settings that the users' platform requires.
 func (s *Settings) readPlatform(r *reader) {
 	d := &s.Daemon
@@ -151,7 +170,6 @@
 		d.Regions[lavenderridge.DataCentreID(k)] = lavenderridge.RegionID(v)
 	}
 	d.Metrics = r.optionalAddress("Operator.Metrics")
-	d.StopDelay = r.duration("Limits.StopDelay", 0, 0, maxStopDelay)
 	d.LinkRate = lavenderridge.BitRate(r.number("Limits.LinkMegabits", 0, maxLinkMegabits) * bitsPerMegabit)
 	d.Memory = lavenderridge.ByteCount(r.number("Limits.MemoryMegabytes", 0, maxMemoryMegabytes) * bytesPerMegabyte)
 	d.ColdFactor = r.number("Backend.ColdFactor", defaultColdFactor, maxColdFactor)
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
 const (
@@ -42,7 +43,7 @@
 	limiter   *backendserver.Limiter
 	admission *backendserver.Admission
 	suspects  *backendserver.Suspects
-	drain     *backendserver.Drain
+	drain     *operator.Drain
 	// cold and listed are nil unless WithListedCapacity is used. Without them, the
 	// limiter determines the capacity of the backend server.
 	cold   *backendserver.ColdStartLimiter
@@ -71,7 +72,7 @@
 	h := &OwnerHandler{
 		snapshots: s, self: f, backend: b, clock: defaults{}, recorder: defaults{}, readiness: defaults{},
 		exclusiveWait: defaultExclusiveWait,
-		suspects:      backendserver.NewSuspects(), drain: backendserver.NewDrain(),
+		suspects:      backendserver.NewSuspects(), drain: operator.NewDrain(),
 		unconfirmed: make(chan struct{}, 1),
 	}
 	for _, v := range o {
--- a/internal/policy/backendserver/drain.go
+++ b/internal/policy/operator/drain.go
@@ -1,4 +1,4 @@
-package backendserver
+package operator
 
 import (
 	"context"
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -15,6 +15,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
@@ -24,6 +25,9 @@
 	// defaultBodyTimeout allows a body of 1 MiB to arrive at 0.3 Mbit/s.
 	defaultBodyTimeout = 30 * time.Second
 	maxHeader          = 64 << 10 // bytes
+	// stopRetryAfter is what callers are told who arrive during a shutdown. A daemon
+	// that is replaced is back about that long after it has exited.
+	stopRetryAfter = time.Second
 )
 
 // A Server passes the requests of callers to a handler and returns its
@@ -40,13 +44,15 @@
 	limits        func() lavenderridge.CallerLimits
 	stopDelay     time.Duration
 	stopping      atomic.Bool
+	// drain holds the running requests. It is started when the stop delay ends.
+	drain *operator.Drain
 }
 
 // NewServer returns a server on the listener l that passes requests to h and
 // refuses bodies above m bytes.
 func NewServer(l net.Listener, h lavenderridge.Handler, m lavenderridge.ByteCount, o ...Option) *Server {
 	s := &Server{
-		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout,
+		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout, drain: operator.NewDrain(),
 		protocol: Protocol{}, callerService: func() lavenderridge.ServiceID { return "" },
 		limits: func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{} },
 	}
@@ -81,6 +87,13 @@
 		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
 		return
 	}
+	if !s.drain.Enter() {
+		f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonStopping, "the daemon is shutting down")
+		f.RetryAfter = stopRetryAfter
+		s.writeRefusal(w, r.ID, f)
+		return
+	}
+	defer s.drain.Leave()
 	if callerHasLeft(q.Context()) {
 		s.writeRefusal(w, r.ID, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonCancelled, "the caller has left"))
 		return
@@ -175,8 +188,10 @@
 	}
 }
 
-// Run serves requests until c is cancelled and for the stop delay after that.
-// It then closes the listener and waits up to d for running requests to finish.
+// Run serves requests until c is cancelled and for the stop delay after that. It then
+// waits up to d for running requests to finish. Until they have finished, it refuses
+// requests that still arrive, for which there may not be enough time. Then it closes
+// the listener and all connections.
 func (s *Server) Run(c context.Context, d time.Duration) error {
 	x := context.WithoutCancel(c)
 	f := make(chan error, 1)
@@ -192,6 +207,10 @@
 	}
 	t, n := context.WithTimeout(x, d)
 	defer n()
+	s.drain.Start()
+	if e := s.drain.Wait(t); e != nil {
+		return fmt.Errorf("callerhttp: running requests: %w", e)
+	}
 	if e := s.stopper.Stop(t, s.Server); e != nil {
 		return fmt.Errorf("callerhttp: shut down: %w", e)
 	}
