Spread the first reads of the platform's store independently of a fleet size

Cause: the settings for the platform fixed FleetSize = 100, which no field of the platform gives, and by which the first reads were spread over 200 ms.

Change: the scheduler of the adapter's follower has these 200 ms itself.

--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -63,7 +63,7 @@
 			return nil, e
 		}
 		d.closeLater(s.Close)
-		return configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.config.fleetSize(), d.metrics), nil
+		return configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.metrics), nil
 	}
 	s, e := confighttp.NewClient(c, d.config.ConfigService)
 	if e != nil {
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -41,7 +41,6 @@
 	instance        lavenderridge.InstanceID
 	dataCentre      lavenderridge.DataCentreID
 	lastPeerMessage func() time.Time
-	fleetSize       int
 	// started is the time at which Run was called. It stands for the time of the
 	// last message from a neighbour until there is a later one.
 	started    time.Time
@@ -50,13 +49,11 @@
 
 // NewFollower returns a follower of the source s for the daemon of the instance n
 // in the data centre d. The function h returns the time of the last message from
-// a neighbour. The fleet size z is assumed until there is an instance list: it is
-// the number of daemons that may start concurrently. Facts that cannot be used are
-// counted in the registry r.
-func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, z int, r metrics.Registry) *Follower {
+// a neighbour. Facts that cannot be used are counted in the registry r.
+func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, r metrics.Registry) *Follower {
 	return &Follower{
 		source: s, mirror: configservice.NewMirror(), store: t, acceptor: a, gate: g, contact: p, clock: k, log: l,
-		instance: n, dataCentre: d, lastPeerMessage: h, fleetSize: z,
+		instance: n, dataCentre: d, lastPeerMessage: h,
 		rejected: metrics.NewRegisteredCounter("SourceFactsRejected", r),
 	}
 }
@@ -103,7 +100,7 @@
 	if h.Before(f.started) {
 		h = f.started
 	}
-	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t), FleetSize: f.fleetSize}
+	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t)}
 	v := f.store.Stamps()
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0
 	if l := f.store.InstanceList(); l != nil {
--- a/internal/daemon/configservice/follower_test.go
+++ b/internal/daemon/configservice/follower_test.go
@@ -43,7 +43,7 @@
 		f.putInstance(i)
 	}
 	a := configservice.NewAcceptor(f.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, 1, metrics.NewRegistry())
+	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, metrics.NewRegistry())
 	c, x := context.WithCancel(t.Context())
 	d := make(chan error, 1)
 	go func() { d <- v.Run(c) }()
--- a/internal/policy/configservice/followscheduler.go
+++ b/internal/policy/configservice/followscheduler.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// followFirstWindow spreads the first reads of daemons that start together. A
+	// platform whose store serves 20 calls a second for each daemon is asked for at
+	// most a quarter of that.
+	followFirstWindow = 200 * time.Millisecond
 	// followWatchWait is the longest wait of a watch for changes. A watch that
 	// returns none does not prove that there are none, so it is renewed well
 	// within the time limit for activating a change. A change ends the watches of
@@ -36,7 +40,7 @@
 // number r in [0, 1) spreads the calls of the fleet.
 func (FollowScheduler) Next(s ReadState, r float64) ReadPlan {
 	if !s.HasInstanceList {
-		w := time.Duration(float64(s.FleetSize) / float64(maxFleetRate) * float64(time.Second))
+		w := followFirstWindow
 		if s.Failures > 0 {
 			w = max(w, min(followBackoffBase<<min(s.Failures, maxDoublings), minReadInterval))
 		}
