Repeat an idempotent request once after a target's own error

Cause: a response of status 500 from a backend server was always handed on, although the route allowed another target and most of the deadline was left.

Change: RetryPolicy.RetriesFailure allows another attempt at another target if the request is idempotent, the entry's attempts allow it and a second run as long as the first fits into the deadline. These retries have a fifth of the fleet's ratio and one token a daemon of their own, because a run that is repeated makes its calls again, which count as retries of the services below; the other retries leave room for them.

The sessions of daemon/caller move to testdata/session.

--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -87,12 +87,16 @@
 	if d.config.RetryRatio == 0 && d.config.RetryExtra == 0 {
 		return nil
 	}
-	f := func() callerpolicy.BudgetParameters {
+	f := func() (f, w callerpolicy.BudgetParameters) {
 		n := d.config.fleetSize()
 		if s := d.configuration.store.Snapshot(); s != nil {
 			n = len(s.List.Instances)
 		}
-		return callerpolicy.FleetBudgetParameters(d.config.RetryRatio, d.config.RetryExtra, n)
+		return callerpolicy.SplitFleetBudget(d.config.RetryRatio, d.config.RetryExtra, n)
+	}
+	return []callerpolicy.RetryOption{
+		callerpolicy.WithFreeRerouting(),
+		callerpolicy.WithBudget(func() callerpolicy.BudgetParameters { r, _ := f(); return r }),
+		callerpolicy.WithFailureRetries(func() callerpolicy.BudgetParameters { _, w := f(); return w }),
 	}
-	return []callerpolicy.RetryOption{callerpolicy.WithBudget(f), callerpolicy.WithFreeRerouting()}
 }
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/caller"
@@ -30,7 +31,8 @@
 
 // HandleMatched implements SnapshotHandler.
 func (h *RetryHandler) HandleMatched(c context.Context, s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Response, error) {
-	h.policy.RecordRequest(r.Service, h.clock.Now())
+	b := h.clock.Now()
+	h.policy.RecordRequest(r.Service, b)
 	var a caller.Attempts
 	var x lavenderridge.Exclusion
 	var l *lavenderridge.Refusal // of the last attempt
@@ -40,7 +42,7 @@
 		q.NoRetry = r.NoRetry || a.Count() > 0
 		n, p, v := h.next.Attempt(c, s, &q, x)
 		if v == nil {
-			return p, nil
+			return h.repeatFailure(c, s, e, r, &a, attempted{instance: n, response: p, began: b, exclusion: x}), nil
 		}
 		f := lavenderridge.AsRefusal(v)
 		if n == "" && x.Refusing {
@@ -63,6 +65,43 @@
 	}
 }
 
+// attempted is the result of an attempt that was answered.
+type attempted struct {
+	instance lavenderridge.InstanceID
+	response *lavenderridge.Response
+	// began is when the first attempt began, and exclusion contains the instances of
+	// the attempts before this one.
+	began     time.Time
+	exclusion lavenderridge.Exclusion
+}
+
+// repeatFailure returns the response of v, or that of a further attempt at another
+// instance if v has failed and the policy allows one. Only a response can replace the
+// one of v: a refusal would hide that the request has run.
+func (h *RetryHandler) repeatFailure(c context.Context, s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request, a *caller.Attempts, v attempted) *lavenderridge.Response {
+	x := v.exclusion
+	x.Refusing = true
+	for p, n := v.response, v.instance; ; {
+		a.AddResponse()
+		t := h.clock.Now()
+		if !h.policy.RetriesFailure(e, r, a, p.Status, t.Sub(v.began), t) {
+			return p
+		}
+		h.recorder.Record(lavenderridge.Decision{
+			Time: t, Event: "FailureRepeated", Subject: string(r.ID),
+			Reason: fmt.Sprintf("attempt %d at %s: status %d", a.Count(), n, p.Status), Versions: s.Versions(),
+		})
+		x.Instances = append(x.Instances, n)
+		q := *r
+		q.Attempt, q.NoRetry = a.Count()+1, true
+		i, w, o := h.next.Attempt(c, s, &q, x)
+		if o != nil {
+			return p
+		}
+		p, n = w, i
+	}
+}
+
 // exclude returns the instances that the next attempt excludes: those in x, and n,
 // which refused with f. If n is out of service, it also excludes the other instances of
 // its data centre, which are most likely out of service too. An entry may allow fewer
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -228,7 +228,7 @@
 // TestSessions runs the golden files of sessions. In those of the directory rerouting,
 // retries of attempts that reached no backend server use no budget.
 func TestSessions(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, p string) {
+	datadriven.Walk(t, "testdata/session", func(t *testing.T, p string) {
 		var o []callerpolicy.RetryOption
 		if filepath.Base(filepath.Dir(p)) == "rerouting" {
 			o = append(o, callerpolicy.WithFreeRerouting())
--- a/internal/policy/caller/attempts.go
+++ b/internal/policy/caller/attempts.go
@@ -30,6 +30,13 @@
 	a.refusedByTarget = n != "" && f.Place == n && f.Outcome == lavenderridge.OutcomeNotRun
 }
 
+// AddResponse counts an attempt that was answered with a failed response.
+func (a *Attempts) AddResponse() {
+	a.count++
+	a.offered++
+	a.unknown = true
+}
+
 // Count returns the number of attempts.
 func (a *Attempts) Count() lavenderridge.Attempt {
 	return a.count
--- a/internal/policy/caller/budgetparameters.go
+++ b/internal/policy/caller/budgetparameters.go
@@ -28,3 +28,18 @@
 	k := max(1, float64(m)/float64(max(1, n)))
 	return BudgetParameters{Ratio: float64(r), Initial: k, Max: k}
 }
+
+// failureShare is the fraction of the fleet's retries that may follow a failed
+// response. A run that is repeated makes its calls again, which count as retries of
+// the services that it calls, so the retries of a service leave room for those.
+const failureShare = 0.2
+
+// SplitFleetBudget divides the fleet's retries, as in FleetBudgetParameters, between
+// those that follow refusals (f) and those that follow failed responses (w). There are none of
+// the latter if m is too small to give each daemon a token of both.
+func SplitFleetBudget(r lavenderridge.Ratio, m, n int) (f, w BudgetParameters) {
+	if m < 2*n {
+		return FleetBudgetParameters(r, m, n), BudgetParameters{}
+	}
+	return FleetBudgetParameters(r*(1-failureShare), m-n, n), BudgetParameters{Ratio: float64(r) * failureShare, Initial: 1, Max: 1}
+}
--- a/internal/policy/caller/retryoption.go
+++ b/internal/policy/caller/retryoption.go
@@ -38,3 +38,10 @@
 func WithFreeRerouting() RetryOption {
 	return func(p *RetryPolicy) { p.freeRerouting = true }
 }
+
+// WithFailureRetries makes the policy repeat idempotent requests to which a backend
+// server responded with its own error. They use budgets of their own, with the
+// parameters that f returns.
+func WithFailureRetries(f func() BudgetParameters) RetryOption {
+	return func(p *RetryPolicy) { p.failureParameters = f }
+}
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -23,6 +23,8 @@
 	// maxReroutes bounds the additional attempts of a request whose attempts are
 	// refused by owners before they reach a backend server.
 	maxReroutes lavenderridge.Attempt = 3
+	// serverError is the HTTP status of a backend server's own error.
+	serverError = 500
 
 	defaultBackoff    = 5 * time.Millisecond
 	defaultMaxBackoff = 250 * time.Millisecond
@@ -38,7 +40,10 @@
 	// freeRerouting is true if a retry uses the budget only after an attempt that
 	// may have reached a backend server.
 	freeRerouting bool
-	budgets       sync.Map // of lavenderridge.ServiceID to *RetryBudget
+	// failureParameters is nil if failed responses are not followed by retries.
+	failureParameters func() BudgetParameters
+	budgets           sync.Map // of lavenderridge.ServiceID to *RetryBudget
+	failureBudgets    sync.Map // of lavenderridge.ServiceID to *failureBudget
 }
 
 // NewRetryPolicy returns a policy with exponential backoff between attempts:
@@ -55,6 +60,28 @@
 // service d.
 func (p *RetryPolicy) RecordRequest(d lavenderridge.ServiceID, t time.Time) {
 	p.budget(d, t).Deposit()
+	if p.failureParameters != nil {
+		p.failureBudget(d, t).Deposit()
+	}
+}
+
+// RetriesFailure records the response with the status c to the request r, and reports
+// whether r under the entry e gets another attempt at the time t, where the attempts a
+// have taken the time d together. A second run must be harmless, and must fit into the time left if it
+// takes as long.
+func (p *RetryPolicy) RetriesFailure(e *lavenderridge.Entry, r *lavenderridge.Request, a *Attempts, c int, d time.Duration, t time.Time) bool {
+	if p.failureParameters == nil {
+		return false
+	}
+	b := p.failureBudget(r.Service, t)
+	b.record(c == serverError)
+	if c != serverError || !r.Idempotent || r.NoRetry {
+		return false
+	}
+	if a.Offered() >= p.maxAttempts(e, r, &lavenderridge.Refusal{}) || !t.Add(d).Before(r.Deadline) {
+		return false
+	}
+	return b.take(t)
 }
 
 // Next returns the wait before the next attempt of the request r under the
@@ -179,3 +206,12 @@
 	v, _ := p.budgets.LoadOrStore(d, NewRetryBudget(p.budgetParameters, t))
 	return v.(*RetryBudget)
 }
+
+// failureBudget returns the budget of the service d for retries of failed responses.
+func (p *RetryPolicy) failureBudget(d lavenderridge.ServiceID, t time.Time) *failureBudget {
+	if v, o := p.failureBudgets.Load(d); o {
+		return v.(*failureBudget)
+	}
+	v, _ := p.failureBudgets.LoadOrStore(d, newFailureBudget(p.failureParameters, t))
+	return v.(*failureBudget)
+}
