Compute each rendezvous hash once when a route table is built

Cause: the sort of the targets computed two hashes for each comparison, for every service and version of the instance list, in the path of the first request after it.

BenchmarkRouteTable, 32 targets: 28.8 us before, 21.0 us after.

--- a/internal/policy/caller/routetable.go
+++ b/internal/policy/caller/routetable.go
@@ -91,10 +91,22 @@
 	if len(g) <= k {
 		return g
 	}
-	slices.SortFunc(g, func(a, b target) int {
-		return cmp.Compare(rendezvousScore(i, b.instance.ID), rendezvousScore(i, a.instance.ID))
-	})
-	return slices.Clone(g[:k])
+	a := make([]scoredTarget, len(g))
+	for j, n := range g {
+		a[j] = scoredTarget{target: n, score: rendezvousScore(i, n.instance.ID)}
+	}
+	slices.SortFunc(a, func(x, y scoredTarget) int { return cmp.Compare(y.score, x.score) })
+	v := make(group, k)
+	for j := range v {
+		v[j] = a[j].target
+	}
+	return v
+}
+
+// scoredTarget is a target with its rendezvous hash.
+type scoredTarget struct {
+	target
+	score uint64
 }
 
 // rendezvousScore returns the rendezvous hash of the pair a and b.
