Verify the certificate of a peer once per connection, not per call

Cause: the server checked the signature chain of the caller's certificate for each call, so that a reloaded authority holds for open connections too.

Change: a VerifiedPeer for each connection keeps the result until the keys are replaced, at most 10 s. Ephemeral keys, as on the users' platform, verify nothing, so nothing changes there.

--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,6 +51,9 @@
 		MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTimeout, PingTimeout: dialTimeout, WriteByteTimeout: writeTimeout,
 	}
 	s.http.ReadHeaderTimeout = dialTimeout
+	s.http.ConnContext = func(c context.Context, _ net.Conn) context.Context {
+		return context.WithValue(c, verifiedPeerKey{}, &peertls.VerifiedPeer{})
+	}
 	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
 	return s
 }
@@ -96,10 +100,19 @@
 	return t
 }
 
+// verifiedPeerKey is the context key of the peertls.VerifiedPeer of a connection.
+type verifiedPeerKey struct{}
+
+// verifiedPeer returns the VerifiedPeer of the connection of a call with the context c.
+func verifiedPeer(c context.Context) *peertls.VerifiedPeer {
+	v, _ := c.Value(verifiedPeerKey{}).(*peertls.VerifiedPeer)
+	return v
+}
+
 // serveHTTP handles one call. A call that did not arrive completely gets no reply:
 // its stream is reset.
 func (s *Server) serveHTTP(w http.ResponseWriter, q *http.Request) {
-	i, e := s.transport.keys.Verify(*q.TLS)
+	i, e := verifiedPeer(q.Context()).Verify(s.transport.keys, *q.TLS, time.Now())
 	if e != nil {
 		w.WriteHeader(http.StatusForbidden)
 		return
