Refuse a waiting request when others ahead of it take the slots in time

Cause: whether a request can wait was decided when it came.

Change: whenever the queue changes, a waiter whose wait, by its position, would outlast its deadline is refused as overloaded, so that its daemon can try another target.

--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -263,13 +263,20 @@
 }
 
 // refuseLate refuses the waiters that would miss their deadline even if they
-// were admitted now.
+// were admitted now, and those behind whom others have been inserted ahead until the
+// wait would outlast their deadline. The latter have time left for another target.
 func (a *Admission) refuseLate(t time.Time) {
-	n := t.Add(a.limiter.Latency())
+	l := a.limiter.Latency()
 	for i := len(a.queue) - 1; i >= 0; i-- {
-		if w := a.queue[i]; w.missesDeadline(n) {
+		w := a.queue[i]
+		d := l * time.Duration(i) / time.Duration(a.limit(w.service))
+		switch {
+		case w.missesDeadline(t.Add(l)):
 			a.remove(i, t)
 			w.decide(a.refuse(lavenderridge.ReasonDeadline, "no slot was free in time for the deadline", 0))
+		case w.missesDeadline(t.Add(l + d)):
+			a.remove(i, t)
+			w.decide(a.refuse(lavenderridge.ReasonOverloaded, "requests ahead took the slots that were free in time", d))
 		}
 	}
 }
--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -122,7 +122,7 @@
 	}
 	time.Sleep(time.Second)
 	f()
-	_ = <-d // an error tells that requests were still running
+	<-d // an error tells that requests were still running
 	// The process exits: the connections that are left end with it.
 	_ = s.Close()
 	close(u.exited)
@@ -139,13 +139,8 @@
 // whose last byte is sent at that time (slow).
 func (u *stoppingServer) request(k string, d time.Duration) string {
 	t := u.start.Add(d)
-	if k == "kept" {
-		time.Sleep(time.Until(t.Add(-200 * time.Millisecond)))
-	} else if k == "slow" {
-		time.Sleep(time.Until(t.Add(-time.Second)))
-	} else {
-		time.Sleep(time.Until(t))
-	}
+	opened := map[string]time.Duration{"kept": 200 * time.Millisecond, "slow": time.Second}[k]
+	time.Sleep(time.Until(t.Add(-opened)))
 	n, e := u.listener.dial()
 	if e != nil {
 		return "refused connection"
