--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -122,7 +122,9 @@
 	}
 	time.Sleep(time.Second)
 	f()
-	<-d // an error tells that requests were still running
+	if e := <-d; e != nil {
+		t.Log(e) // requests were still running
+	}
 	// The process exits: the connections that are left end with it.
 	_ = s.Close()
 	close(u.exited)
