--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -67,8 +67,8 @@
 
 // RetriesFailure records the response with the status c to the request r, and reports
 // whether r under the entry e gets another attempt at the time t, where the attempts a
-// have taken the time d together. A second run must be harmless, and must fit into the time left if it
-// takes as long.
+// have taken the time d together. A second run must be harmless, and if it takes as
+// long it must fit into the time left.
 func (p *RetryPolicy) RetriesFailure(e *lavenderridge.Entry, r *lavenderridge.Request, a *Attempts, c int, d time.Duration, t time.Time) bool {
 	if p.failureParameters == nil {
 		return false
