Record what backend servers announce in their responses

A backend server can name a limit of requests a second and say that it is leaving, in the header of any response. The client of the backend server now passes the notice on as soon as the head of a response is read, and the owner records when a limit is named, changed, ended or invalid, with the requests that were sent meanwhile. No decision uses it yet.

--- a/backendprotocol.go
+++ b/backendprotocol.go
@@ -17,6 +17,8 @@
 	// ImpliesNotRun reports whether callers understand the status s as a guarantee
 	// that the request has not run.
 	ImpliesNotRun(s int) bool
+	// Notice returns what the header h of a response says about the backend server.
+	Notice(h Header) Notice
 	// Health returns the health in the status s and the header h of the response
 	// to a health check. It reports false if the health is in the body instead.
 	Health(s int, h Header) (Health, bool)
--- a/health.go
+++ b/health.go
@@ -12,4 +12,6 @@
 	Boot string
 	// Cold is the remaining time for which the backend server is cold.
 	Cold time.Duration
+	// Notice is the notice in the response to the health check.
+	Notice Notice
 }
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -51,6 +51,9 @@
 	metrics.NewRegisteredFunctionalGauge("DecisionsRecorded", m, func() int64 { return int64(r.journal.Recorded()) })
 	metrics.NewRegisteredFunctionalGauge("BurnObservationsDropped", m, func() int64 { return int64(r.burn.Dropped()) })
 	metrics.NewRegisteredFunctionalGauge("StartedAtSeconds", m, r.startedAt.Unix)
+	metrics.NewRegisteredFunctionalGaugeFloat64("BackendNamedLimit", m, func() float64 { return float64(d.owner.owner.Notice().Limit) })
+	metrics.NewRegisteredFunctionalGauge("BackendLeaving", m, func() int64 { return flag(d.owner.owner.Notice().Leaving) })
+	metrics.NewRegisteredFunctionalGauge("BackendRequestsSent", m, func() int64 { return d.owner.owner.RequestsSent() })
 	r.registerStatus(d)
 }
 
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -24,7 +24,9 @@
 }
 
 func newOwnerPart(c context.Context, d *Daemon) (*ownerPart, error) {
-	b, e := backendhttp.NewClient(c, d.config.Backend, d.config.Connections, d.config.MaxBody, backendOptions(d)...)
+	var h *backendserver.OwnerHandler
+	b, e := backendhttp.NewClient(c, d.config.Backend, d.config.Connections, d.config.MaxBody, append(backendOptions(d),
+		backendhttp.WithNotices(func(r *lavenderridge.Request, n lavenderridge.Notice) { h.HearNotice(r, n) }))...)
 	if e != nil {
 		return nil, e
 	}
@@ -37,7 +39,7 @@
 	if d.adapter != nil {
 		o = append(o, backendserver.WithListedCapacity(d.config.ColdFactor, d.config.ColdSlack, d.config.LinkRate))
 	}
-	h := backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
+	h = backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
 	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
 }
 
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -52,6 +52,7 @@
 	// server may have restarted, so that runListed checks its health immediately.
 	unconfirmed chan struct{}
 	pace        backendserver.Pace
+	announced   *backendserver.Announcements
 
 	exclusiveWait   time.Duration // how long a suspect waits while another runs exclusively
 	waitingSuspects atomic.Int64  // number of suspects that wait
@@ -59,6 +60,7 @@
 	unreachable     atomic.Bool
 	crashedAt       atomic.Int64 // wall time of the last crash, in nanoseconds
 	lostConnections atomic.Int64 // requests that lost their connection since the last check for a crash
+	requestsSent    atomic.Int64
 	lastRefused     atomic.Int64 // wall time of StopAccepting or of the last refusal after it, in nanoseconds
 	crashChecks     singleflight.Group
 }
@@ -80,6 +82,7 @@
 	}
 	h.limiter = backendserver.NewLimiter(h.clock.Now(), h.limiterOptions...)
 	h.admission = backendserver.NewAdmission(h.limiter)
+	h.announced = backendserver.NewAnnouncements(h.clock.Now())
 	if h.listed != nil {
 		h.cold = backendserver.NewColdStartLimiter(h.clock.Now())
 		h.markUnconfirmed()
@@ -265,6 +268,8 @@
 	if e := h.enterColdStart(v, r, b); e != nil {
 		return nil, e
 	}
+	h.requestsSent.Add(1)
+	h.announced.Sent(r.Backend)
 	p, e := h.backend.Handle(c, r)
 	t := h.clock.Now()
 	if e != nil {
--- /dev/null
+++ b/internal/policy/backendserver/announcements.go
@@ -0,0 +1,132 @@
+package backendserver
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+// changeRecordPeriod is the shortest time between two records of a changed limit, so
+// that a backend server can't fill the log.
+const changeRecordPeriod = time.Second
+
+// Announcements holds what the current run of a backend server has said about itself
+// in its responses. A limit is in force until a response doesn't name it any more; a
+// run that is leaving doesn't come back.
+type Announcements struct {
+	start time.Time
+	state atomic.Pointer[announced]
+}
+
+// announced is what one run has said. Only its atomics change.
+type announced struct {
+	notice lavenderridge.HeardNotice
+	// since is when the limit was named first.
+	since time.Duration
+	// recordedAt is when a change of the limit was recorded last.
+	recordedAt time.Duration
+	// heardAt is when the notice was heard last.
+	heardAt atomic.Int64
+	// sent counts the requests that were sent since then.
+	sent *atomic.Int64
+}
+
+// NewAnnouncements returns announcements of a backend server that has said nothing
+// until t.
+func NewAnnouncements(t time.Time) *Announcements {
+	return &Announcements{start: t}
+}
+
+// Heard records the notice n in a response of the run b at the time t. It returns the
+// event and the reason of the decision to record, or empty texts if there is none.
+func (a *Announcements) Heard(b lavenderridge.BackendID, n lavenderridge.Notice, t time.Time) (k, d string) {
+	u := t.Sub(a.start)
+	for {
+		p := a.state.Load()
+		if p.confirmedBy(b, n) {
+			p.heardAt.Store(int64(u))
+			return "", ""
+		}
+		v := p.next(b, n, u)
+		if a.state.CompareAndSwap(p, v) {
+			return v.describeChange(p, u)
+		}
+	}
+}
+
+// Sent records that a request was sent to the run b.
+func (a *Announcements) Sent(b lavenderridge.BackendID) {
+	if p := a.state.Load(); p != nil && p.notice.Backend == b {
+		p.sent.Add(1)
+	}
+}
+
+// Notice returns the notice in force of the run b at the time t.
+func (a *Announcements) Notice(b lavenderridge.BackendID, t time.Time) lavenderridge.HeardNotice {
+	p := a.state.Load()
+	if p == nil || p.notice.Backend != b {
+		return lavenderridge.HeardNotice{Backend: b}
+	}
+	n := p.notice
+	n.Age += t.Sub(a.start) - time.Duration(p.heardAt.Load())
+	return n
+}
+
+// confirmedBy reports whether the notice n of the run b changes nothing. The state p
+// may be nil.
+func (p *announced) confirmedBy(b lavenderridge.BackendID, n lavenderridge.Notice) bool {
+	if p == nil || p.notice.Backend != b || n.Leaving && !p.notice.Leaving {
+		return false
+	}
+	if n.Invalid {
+		return p.notice.Invalid
+	}
+	return !p.notice.Invalid && n.Limited == p.notice.Limited && n.Limit == p.notice.Limit
+}
+
+// next returns the state after the notice n of the run b at the time u. An invalid
+// limit leaves the one in force as it is.
+func (p *announced) next(b lavenderridge.BackendID, n lavenderridge.Notice, u time.Duration) *announced {
+	v := &announced{notice: lavenderridge.HeardNotice{Notice: n, Backend: b}, since: u, sent: &atomic.Int64{}}
+	v.heardAt.Store(int64(u))
+	if p == nil || p.notice.Backend != b {
+		return v
+	}
+	v.recordedAt = p.recordedAt
+	v.notice.Leaving = n.Leaving || p.notice.Leaving
+	if n.Invalid {
+		v.notice.Limited, v.notice.Limit = p.notice.Limited, p.notice.Limit
+		v.heardAt.Store(p.heardAt.Load())
+	}
+	if v.notice.Limited && p.notice.Limited {
+		v.since, v.sent = p.since, p.sent
+	}
+	if v.notice.Limit != p.notice.Limit && u-p.recordedAt >= changeRecordPeriod {
+		v.recordedAt = u
+	}
+	return v
+}
+
+// describeChange returns the event and the reason of the change from p to v at the
+// time u.
+func (v *announced) describeChange(p *announced, u time.Duration) (k, d string) {
+	if p == nil || p.notice.Backend != v.notice.Backend {
+		p = &announced{sent: &atomic.Int64{}}
+	}
+	n, o := v.notice, p.notice
+	switch {
+	case n.Leaving && !o.Leaving:
+		return "BackendLeaving", "the backend server says that it is leaving"
+	case n.Invalid && !o.Invalid:
+		return "BackendLimitInvalid", "the backend server names a limit that is no decimal number; the one before stays in force"
+	case n.Limited && !o.Limited:
+		return "BackendLimitNamed", fmt.Sprintf("%g requests a second from all daemons together", n.Limit)
+	case !n.Limited && o.Limited:
+		return "BackendLimitEnded", fmt.Sprintf("after %s, in which %d requests were sent", (u - p.since).Round(time.Millisecond), p.sent.Load())
+	case n.Limit != o.Limit && v.recordedAt == u:
+		return "BackendLimitChanged", fmt.Sprintf("%g requests a second from all daemons together, %g before", n.Limit, o.Limit)
+	}
+	return "", ""
+}
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -42,6 +42,7 @@
 	checking   atomic.Bool
 	newPool    func() (*pool, error)
 	protocol   lavenderridge.BackendProtocol
+	onNotice   func(*lavenderridge.Request, lavenderridge.Notice)
 	healthPath func() string
 }
 
@@ -52,7 +53,7 @@
 func NewClient(c context.Context, a lavenderridge.Address, n lavenderridge.Connections, m lavenderridge.ByteCount, o ...Option) (*Client, error) {
 	l := &Client{
 		address: a, connections: n, maxBody: m, unresponsiveTimeout: defaultUnresponsiveTimeout, dialer: newDialer(max(2, n)),
-		protocol: Protocol{}, healthPath: func() string { return "" },
+		protocol: Protocol{}, healthPath: func() string { return "" }, onNotice: func(*lavenderridge.Request, lavenderridge.Notice) {},
 	}
 	for _, f := range o {
 		f(l)
@@ -109,7 +110,11 @@
 	if !l.protocol.Matches(r, h) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response is for another request")
 	}
-	if n, o := l.protocol.NotRun(p.StatusCode, h); o {
+	n, o := l.protocol.NotRun(p.StatusCode, h)
+	if n != lavenderridge.ReasonWrongTarget {
+		l.onNotice(r, l.protocol.Notice(h))
+	}
+	if o {
 		f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, n, fmt.Sprintf("the backend server responded with status %d and did not run the request", p.StatusCode))
 		f.Offered = true
 		l.refused.add(c, r.ID)
@@ -265,6 +270,7 @@
 	if e := json.NewDecoder(io.LimitReader(p.Body, maxHealthBody)).Decode(&h); e != nil {
 		return h, fmt.Errorf("backendhttp: probe: %w", e)
 	}
+	h.Notice = l.protocol.Notice(lavenderridge.Header(p.Header))
 	return h, nil
 }
 
--- a/internal/transport/backendhttp/option.go
+++ b/internal/transport/backendhttp/option.go
@@ -28,6 +28,13 @@
 	return func(l *Client) { l.bodies.limit = n }
 }
 
+// WithNotices makes the client call f with each request that the backend server
+// responds to, and the notice in the response, before the body is read. Responses of
+// another backend server than the expected one are left out.
+func WithNotices(f func(*lavenderridge.Request, lavenderridge.Notice)) Option {
+	return func(l *Client) { l.onNotice = f }
+}
+
 // WithHealthPath makes the client send health checks to the path that f
 // returns. If f returns an empty path, the default path is used.
 func WithHealthPath(f func() string) Option {
--- a/internal/transport/backendhttp/protocol.go
+++ b/internal/transport/backendhttp/protocol.go
@@ -20,6 +20,15 @@
 	NoRetryHeader = "X-Request-No-Retry"
 )
 
+// Header fields of a response of the backend server.
+const (
+	// LimitHeader carries the number of requests per second that the backend server
+	// takes from all daemons together; without it, there is no such limit.
+	LimitHeader = "X-Backend-Limit"
+	// LeavingHeader is "1" if the backend server is about to end.
+	LeavingHeader = "X-Backend-Leaving"
+)
+
 // A Protocol is the system's own protocol with backend servers. They report
 // their health in the body of the response to a health check.
 type Protocol struct{}
@@ -54,6 +63,11 @@
 	return false
 }
 
+// Notice implements lavenderridge.BackendProtocol.
+func (Protocol) Notice(h lavenderridge.Header) lavenderridge.Notice {
+	return lavenderridge.NewNotice(h[LimitHeader], h[LeavingHeader])
+}
+
 // Health implements lavenderridge.BackendProtocol.
 func (Protocol) Health(int, lavenderridge.Header) (lavenderridge.Health, bool) {
 	return lavenderridge.Health{}, false
