--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -49,6 +49,7 @@
 	restartTime       time.Duration
 	healthLag         time.Duration
 	fixedHealth       atomic.Pointer[lavenderridge.Health]
+	announcement      atomic.Pointer[announcement]
 
 	mutex           sync.Mutex
 	boot            *boot
@@ -74,6 +75,12 @@
 	http      *http.Server
 }
 
+// announcement is what the server says about itself in all its responses.
+type announcement struct {
+	limit   []string
+	leaving bool
+}
+
 type healthSample struct {
 	time   time.Time
 	health lavenderridge.Health
@@ -176,6 +183,12 @@
 	s.Crash()
 }
 
+// Announce makes all responses name the limits l, any texts, and say that the server is
+// leaving if g is true.
+func (s *Server) Announce(g bool, l ...string) {
+	s.announcement.Store(&announcement{limit: l, leaving: g})
+}
+
 // Drain sets whether the server drains: it then sheds new requests and its health
 // endpoint reports that it is not ready.
 func (s *Server) Drain(d bool) {
@@ -236,6 +249,7 @@
 
 // ServeHTTP serves the health endpoint, and runs the request on every other path.
 func (s *Server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	s.writeAnnouncement(w.Header())
 	if q.URL.Path == healthPath {
 		s.serveHealth(w)
 		return
@@ -260,6 +274,20 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s\n", s.instance, q.Method, q.URL.Path)
 }
 
+// writeAnnouncement sets the header fields of the announcement.
+func (s *Server) writeAnnouncement(h http.Header) {
+	a := s.announcement.Load()
+	if a == nil {
+		return
+	}
+	if len(a.limit) > 0 {
+		h[backendhttp.LimitHeader] = a.limit
+	}
+	if a.leaving {
+		h.Set(backendhttp.LeavingHeader, "1")
+	}
+}
+
 // beginRun records the start of a run of the request q. It returns no run, but the
 // failure to respond with, if the server is down, draining or over its capacity.
 func (s *Server) beginRun(q *http.Request) (*boot, *Run, Failure) {
