Keep the limit that a backend server names, at the daemon beside it

Cause: no code read the limit. All requests to a backend server, whichever daemon they began at and whether first or repeated, pass the daemon beside it, so that daemon is the one place where the limit holds for all daemons together, as with slots and cold starts. It now spaces requests by the limit, lock-free (a rate with a small burst; higher classes first). A request that finds no room is refused as not run (BackendLimit) and goes to another target at once, without using the retry budget. A limit belongs to one run, starts with an empty burst, changes without granting one, and after its end the rate doubles each 0.3 s. A backend server that names 0 still gets one request in 2 s, because only an answer can end a limit. An invalid value changes nothing and is recorded once.

--- a/internal/daemon/backendserver/notices.go
+++ b/internal/daemon/backendserver/notices.go
@@ -1,6 +1,9 @@
 package backendserver
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/lavenderridge/lavenderridge"
 )
 
@@ -17,6 +20,19 @@
 	}
 }
 
+// limitRefusal returns the refusal of a request that has to wait for w because of the
+// limit that the backend server has named.
+func (h *OwnerHandler) limitRefusal(w time.Duration) error {
+	n := h.Notice()
+	d := fmt.Sprintf("the backend server takes %g requests a second from all daemons together, as it said %s ago", n.Limit, n.Age.Round(time.Millisecond))
+	if !n.Limited {
+		d = "the backend server has just ended its limit, and its rate rises again"
+	}
+	f := lavenderridge.AsRefusal(h.notRun(lavenderridge.ReasonBackendLimit, d, w))
+	f.Heard = &n
+	return f
+}
+
 // Notice returns what the backend server currently says about itself.
 func (h *OwnerHandler) Notice() lavenderridge.HeardNotice {
 	n := h.announced.Notice(h.currentRun(), h.clock.Now())
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -138,6 +138,9 @@
 
 // handleNormal handles a request that is not a suspect.
 func (h *OwnerHandler) handleNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
+	if w := h.announced.Wait(r.Backend, r.Class, t); w > 0 {
+		return nil, h.limitRefusal(w)
+	}
 	if e := h.admitWithinCapacity(v, r, t); e != nil {
 		return nil, e
 	}
@@ -268,8 +271,10 @@
 	if e := h.enterColdStart(v, r, b); e != nil {
 		return nil, e
 	}
+	if w := h.announced.Take(r.Backend, r.Class, b); w > 0 {
+		return nil, h.limitRefusal(w)
+	}
 	h.requestsSent.Add(1)
-	h.announced.Sent(r.Backend)
 	p, e := h.backend.Handle(c, r)
 	t := h.clock.Now()
 	if e != nil {
--- a/internal/policy/backendserver/announcements.go
+++ b/internal/policy/backendserver/announcements.go
@@ -27,6 +27,9 @@
 	since time.Duration
 	// recordedAt is when a change of the limit was recorded last.
 	recordedAt time.Duration
+	// rate spaces the requests while the limit is in force and for a short time after
+	// that; it is nil if no limit was named.
+	rate *RequestRate
 	// heardAt is when the notice was heard last.
 	heardAt atomic.Int64
 	// sent counts the requests that were sent since then.
@@ -51,22 +54,52 @@
 		}
 		v := p.next(b, n, u)
 		if a.state.CompareAndSwap(p, v) {
-			return v.describeChange(p, u)
+			return p.describeChange(v, u)
 		}
 	}
 }
 
-// Sent records that a request was sent to the run b.
-func (a *Announcements) Sent(b lavenderridge.BackendID) {
-	if p := a.state.Load(); p != nil && p.notice.Backend == b {
+// Wait returns how long a request of the class k for the run b has to wait at t because
+// of the limit in force, or zero if it may be sent.
+func (a *Announcements) Wait(b lavenderridge.BackendID, k lavenderridge.Class, t time.Time) time.Duration {
+	if p := a.current(b); p != nil {
+		return p.rate.Wait(k, t.Sub(a.start))
+	}
+	return 0
+}
+
+// Take counts a request of the class k that is sent to the run b at t and returns zero.
+// If it may not be sent yet, Take returns the wait.
+func (a *Announcements) Take(b lavenderridge.BackendID, k lavenderridge.Class, t time.Time) time.Duration {
+	p := a.current(b)
+	if p == nil {
+		return 0
+	}
+	w := p.rate.Take(k, t.Sub(a.start))
+	if w == 0 {
 		p.sent.Add(1)
 	}
+	return w
+}
+
+// Leaving reports whether the run b has said that it is leaving.
+func (a *Announcements) Leaving(b lavenderridge.BackendID) bool {
+	p := a.current(b)
+	return p != nil && p.notice.Leaving
+}
+
+// current returns the state of the run b, or nil if it has said nothing.
+func (a *Announcements) current(b lavenderridge.BackendID) *announced {
+	if p := a.state.Load(); p != nil && p.notice.Backend == b {
+		return p
+	}
+	return nil
 }
 
 // Notice returns the notice in force of the run b at the time t.
 func (a *Announcements) Notice(b lavenderridge.BackendID, t time.Time) lavenderridge.HeardNotice {
-	p := a.state.Load()
-	if p == nil || p.notice.Backend != b {
+	p := a.current(b)
+	if p == nil {
 		return lavenderridge.HeardNotice{Backend: b}
 	}
 	n := p.notice
@@ -92,6 +125,9 @@
 	v := &announced{notice: lavenderridge.HeardNotice{Notice: n, Backend: b}, since: u, sent: &atomic.Int64{}}
 	v.heardAt.Store(int64(u))
 	if p == nil || p.notice.Backend != b {
+		if n.Limited {
+			v.rate = newRequestRate(n.Limit, 0, u)
+		}
 		return v
 	}
 	v.recordedAt = p.recordedAt
@@ -106,12 +142,27 @@
 	if v.notice.Limit != p.notice.Limit && u-p.recordedAt >= changeRecordPeriod {
 		v.recordedAt = u
 	}
+	v.rate = p.nextRate(&v.notice, u)
 	return v
 }
 
+// nextRate returns the rate after the notice n at the time u. A new limit begins with
+// an empty burst, since the backend server may just have got many requests.
+func (p *announced) nextRate(n *lavenderridge.HeardNotice, u time.Duration) *RequestRate {
+	switch {
+	case n.Limited && p.notice.Limited && n.Limit != p.notice.Limit:
+		return newRequestRate(n.Limit, p.rate.available(u), u)
+	case n.Limited && !p.notice.Limited:
+		return newRequestRate(n.Limit, 0, u)
+	case !n.Limited && p.notice.Limited:
+		return p.rate.released(u)
+	}
+	return p.rate
+}
+
 // describeChange returns the event and the reason of the change from p to v at the
 // time u.
-func (v *announced) describeChange(p *announced, u time.Duration) (k, d string) {
+func (p *announced) describeChange(v *announced, u time.Duration) (k, d string) {
 	if p == nil || p.notice.Backend != v.notice.Backend {
 		p = &announced{sent: &atomic.Int64{}}
 	}
@@ -120,7 +171,7 @@
 	case n.Leaving && !o.Leaving:
 		return "BackendLeaving", "the backend server says that it is leaving"
 	case n.Invalid && !o.Invalid:
-		return "BackendLimitInvalid", "the backend server names a limit that is no decimal number; the one before stays in force"
+		return "BackendLimitInvalid", "the backend server names a limit that is no decimal number; what held before stays in force"
 	case n.Limited && !o.Limited:
 		return "BackendLimitNamed", fmt.Sprintf("%g requests a second from all daemons together", n.Limit)
 	case !n.Limited && o.Limited:
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -105,7 +105,8 @@
 // instance that is not known to refuse requests. Without a budget, nothing else bounds
 // the attempts that an overloaded service refuses.
 func (p *RetryPolicy) Reroutes(f *lavenderridge.Refusal) bool {
-	return p.freeRerouting && f.Reason == lavenderridge.ReasonOverloaded && !mayHaveReached(f)
+	o := f.Reason == lavenderridge.ReasonOverloaded || f.Reason == lavenderridge.ReasonBackendLimit
+	return p.freeRerouting && o && !mayHaveReached(f)
 }
 
 // allows reports whether the number of attempts is below its bound. With free
@@ -154,7 +155,7 @@
 func retryable(r lavenderridge.Reason) bool {
 	switch r {
 	case lavenderridge.ReasonNotReady, lavenderridge.ReasonWrongTarget, lavenderridge.ReasonStopping,
-		lavenderridge.ReasonLeaving, lavenderridge.ReasonOutOfService, lavenderridge.ReasonOverloaded,
+		lavenderridge.ReasonLeaving, lavenderridge.ReasonOutOfService, lavenderridge.ReasonOverloaded, lavenderridge.ReasonBackendLimit,
 		lavenderridge.ReasonUnreachable, lavenderridge.ReasonConnectionLost, lavenderridge.ReasonBadResponse,
 		lavenderridge.ReasonNotHome, lavenderridge.ReasonNotActive:
 		return true
--- a/internal/policy/caller/target.go
+++ b/internal/policy/caller/target.go
@@ -132,7 +132,7 @@
 	case lavenderridge.ReasonStopping, lavenderridge.ReasonLeaving, lavenderridge.ReasonOutOfService,
 		lavenderridge.ReasonNotReady, lavenderridge.ReasonWrongTarget:
 		n.exclude(t + refusedExclusion)
-	case lavenderridge.ReasonOverloaded:
+	case lavenderridge.ReasonOverloaded, lavenderridge.ReasonBackendLimit:
 		n.exclude(t + min(max(f.RetryAfter, overloadedExclusion), refusedExclusion))
 	case lavenderridge.ReasonUnreachable, lavenderridge.ReasonConnectionLost,
 		lavenderridge.ReasonBadResponse, lavenderridge.ReasonDeadline:
--- a/reason.go
+++ b/reason.go
@@ -30,6 +30,9 @@
 	// ReasonLimit: the entry has reached its limit of concurrency or rate, or the
 	// daemon has reached its limit of connections to the backend server.
 	ReasonLimit Reason = "Limit"
+	// ReasonBackendLimit: the backend server gets no more requests now because of the
+	// limit that it has named.
+	ReasonBackendLimit Reason = "BackendLimit"
 	// ReasonDeadline: the deadline passed, or no slot would be free before it.
 	ReasonDeadline Reason = "Deadline"
 	// ReasonCancelled: the caller no longer waits for the response.
--- a/refusal.go
+++ b/refusal.go
@@ -27,6 +27,8 @@
 	Retried bool
 	// Load is the load of the refusing daemon's backend server.
 	Load Load
+	// Heard is what that backend server has announced; nil if it was no reason.
+	Heard *HeardNotice
 	// Versions are the accepted versions of the refusing daemon; zero if they
 	// are not known.
 	Versions Versions
