Send nothing to a backend server after it has said that it is leaving

A backend server that leaves says so in its answers. Nobody read that: while the store is silent and the list still has it, requests went on to it until it ended, also from daemons whose callers had been told (DRAIN).

The owner now refuses new and waiting requests as not run (Leaving) from the first such answer on; a daemon that has passed one on never chooses that run again, so the owner may restart and forget.

Evidence: the golden session leaving of daemon/caller failed before (attempt at a after it said that it is leaving) and passes, that of daemon/backendserver is new.

--- a/internal/daemon/backendserver/crashcheck.go
+++ b/internal/daemon/backendserver/crashcheck.go
@@ -57,6 +57,9 @@
 	c, f := context.WithTimeout(c, probeTimeout)
 	defer f()
 	p, e := h.backend.Probe(c)
+	if isUnreachable(e) {
+		h.runEnded.Store(true)
+	}
 	if e != nil {
 		return nil, e
 	}
@@ -95,7 +98,10 @@
 	if e != nil {
 		return
 	}
-	if t := h.clock.Now(); h.limiter.HealthReported(*p, t) {
+	t := h.clock.Now()
+	if h.limiter.HealthReported(*p, t) {
+		h.runEnded.Store(true)
 		h.record("RampRestarted", "new boot mark", t)
 	}
+	h.hearHealth(p, t)
 }
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -249,6 +249,7 @@
 		if h.cold.Unconfirmed() {
 			h.confirm(c)
 		}
+		h.checkLeaving(c)
 		k := time.NewTimer(confirmPeriod)
 		select {
 		case <-k.C:
@@ -293,5 +294,6 @@
 		}
 	}
 	h.cold.HealthReported(p.Cold, b, t)
+	h.hearHealth(p, t)
 	h.record("BackendTold", "cold for "+p.Cold.String(), t)
 }
--- a/internal/daemon/backendserver/notices.go
+++ b/internal/daemon/backendserver/notices.go
@@ -1,13 +1,19 @@
 package backendserver
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 )
 
+// leavingCheckPeriod is the time between health checks of a backend server that is
+// leaving.
+const leavingCheckPeriod = time.Second
+
 // HearNotice records the notice n in the response of the backend server to the
 // request r. A response of another run than the listed one is late and says nothing
 // about the current one.
@@ -16,8 +22,16 @@
 		return
 	}
 	t := h.clock.Now()
-	if k, d := h.announced.Heard(r.Backend, n, t); k != "" {
-		h.record(k, d, t)
+	h.recordNotice(h.announced.Heard(r.Backend, n, t))
+}
+
+// recordNotice records a decision with the event k, which may be empty, and the reason d.
+func (h *OwnerHandler) recordNotice(k, d string) {
+	if k == backendserver.EventLeaving {
+		h.runEnded.Store(false)
+	}
+	if k != "" {
+		h.record(k, d, h.clock.Now())
 	}
 }
 
@@ -29,9 +43,7 @@
 	}
 	n := *r.Heard
 	n.Place = r.Sender.Instance
-	if k, d := h.announced.Told(n, t); k != "" {
-		h.record(k, d, t)
-	}
+	h.recordNotice(h.announced.Told(n, t))
 }
 
 // limitRefusal returns the refusal of a request that has to wait for w because of the
@@ -47,6 +59,38 @@
 	return f
 }
 
+// leavingRefusal returns the refusal of a request because the backend server has said
+// that it is leaving.
+func (h *OwnerHandler) leavingRefusal() error {
+	n := h.Notice()
+	f := lavenderridge.AsRefusal(h.notRun(lavenderridge.ReasonLeaving, fmt.Sprintf("the backend server said %s ago that it is leaving", n.Age.Round(time.Millisecond)), unavailableRetryAfter))
+	f.Heard = &n
+	return f
+}
+
+// hearHealth records the notice in the health p.
+func (h *OwnerHandler) hearHealth(p *lavenderridge.Health, t time.Time) {
+	b := h.currentRun()
+	if b != "" && p.Boot != "" && p.Boot != string(b) {
+		return
+	}
+	h.recordNotice(h.announced.HeardHealth(b, p.Notice, p.Ready && h.runEnded.Load(), t))
+}
+
+// checkLeaving checks the health of a backend server that has said that it is leaving
+// and is still listed, once each leavingCheckPeriod, since it gets no requests that would
+// show its end.
+func (h *OwnerHandler) checkLeaving(c context.Context) {
+	t := h.clock.Now()
+	if !h.announced.Leaving(h.currentRun()) || t.Sub(h.leavingCheckedAt) < leavingCheckPeriod {
+		return
+	}
+	h.leavingCheckedAt = t
+	if p, e := h.probe(c); e == nil {
+		h.hearHealth(p, t)
+	}
+}
+
 // limitedSlots returns how many of n slots the requests within the named limit take up
 // on average, by their recent latency. Other daemons divide the load by it.
 func (h *OwnerHandler) limitedSlots(n lavenderridge.Slots) lavenderridge.Slots {
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -53,10 +53,13 @@
 	unconfirmed chan struct{}
 	pace        backendserver.Pace
 	announced   *backendserver.Announcements
+	// leavingCheckedAt is used by the goroutine of Run only.
+	leavingCheckedAt time.Time
 
 	exclusiveWait   time.Duration // how long a suspect waits while another runs exclusively
 	waitingSuspects atomic.Int64  // number of suspects that wait
 	outOfService    atomic.Bool
+	runEnded        atomic.Bool // the run has ended since it said that it is leaving
 	unreachable     atomic.Bool
 	crashedAt       atomic.Int64 // wall time of the last crash, in nanoseconds
 	lostConnections atomic.Int64 // requests that lost their connection since the last check for a crash
@@ -209,6 +212,9 @@
 		return nil, e
 	}
 	h.hearFromSender(r, t)
+	if h.announced.Leaving(h.currentRun()) {
+		return nil, h.leavingRefusal()
+	}
 	if h.listed == nil {
 		return v, nil
 	}
--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -279,6 +279,16 @@
 		return "ok\n"
 	case "check":
 		s.owner.Check(context.Background())
+	case "announce":
+		n := lavenderridge.Notice{Leaving: d.HasArg("leaving")}
+		n.Limited = d.MaybeScanArgs(t, "limit", (*float64)(&n.Limit))
+		if d.HasArg("health") {
+			s.mutex.Lock()
+			s.health.Notice = n
+			s.mutex.Unlock()
+			return "ok\n"
+		}
+		s.owner.HearNotice(&lavenderridge.Request{}, n)
 	case "sleep":
 		n := 0
 		d.ScanArgs(t, "ms", &n)
--- a/internal/policy/backendserver/announcements.go
+++ b/internal/policy/backendserver/announcements.go
@@ -12,6 +12,10 @@
 // that a backend server can't fill the log.
 const changeRecordPeriod = time.Second
 
+// EventLeaving is the event of a backend server that says for the first time that it is
+// leaving.
+const EventLeaving = "BackendLeaving"
+
 // Announcements holds what the current run of a backend server has said about itself
 // in its responses. A limit is in force until a response doesn't name it any more; a
 // run that is leaving doesn't come back.
@@ -62,6 +66,29 @@
 	}
 }
 
+// HeardHealth records the notice n in the response of the run b to a health check at t,
+// where r is true if a run has ended since the last notice and the response says that
+// the backend server is ready. Health checks may be answered by something that knows no
+// limit, so one that names none doesn't end it.
+func (a *Announcements) HeardHealth(b lavenderridge.BackendID, n lavenderridge.Notice, r bool, t time.Time) (k, d string) {
+	p := a.current(b)
+	if p != nil && p.notice.Leaving && r && !n.Leaving {
+		v := p.next(b, lavenderridge.Notice{Limited: n.Limited, Limit: n.Limit}, t.Sub(a.start))
+		v.notice.Leaving = false
+		if a.state.CompareAndSwap(p, v) {
+			return "BackendReturned", "the run that was leaving has ended, and another one is ready under the same identity"
+		}
+		return "", ""
+	}
+	if !n.Limited && !n.Leaving {
+		return "", ""
+	}
+	if p != nil && !n.Limited {
+		n.Limited, n.Limit, n.Invalid = p.notice.Limited, p.notice.Limit, p.notice.Invalid
+	}
+	return a.Heard(b, n, t)
+}
+
 // Told records the notice n that another daemon reports at t. What the backend server
 // has said to this daemon, and a later report, holds instead. The results are those of
 // Heard.
@@ -205,7 +232,7 @@
 	n, o := v.notice, p.notice
 	switch {
 	case n.Leaving && !o.Leaving:
-		return "BackendLeaving", "the backend server says that it is leaving"
+		return EventLeaving, "the backend server says that it is leaving"
 	case n.Invalid && !o.Invalid:
 		return "BackendLimitInvalid", "the backend server names a limit that is no decimal number; what held before stays in force"
 	case n.Limited && !o.Limited:
--- a/internal/policy/caller/choice.go
+++ b/internal/policy/caller/choice.go
@@ -21,8 +21,12 @@
 	return c.hasRoom(n) && n.usable(c.now) && !slices.Contains(c.exclude, n.instance.ID)
 }
 
-// hasRoom reports whether the limit of n, if there is one, has room for the request.
+// hasRoom reports whether n isn't leaving and its limit, if there is one, has room for
+// the request.
 func (c *choice) hasRoom(n *target) bool {
+	if n.leaving(n.instance.Backend, c.now) {
+		return false
+	}
 	w := n.roomIn(c.class, c.now)
 	if w > 0 && (c.limited == nil || w < c.limited.roomIn(c.class, c.now)) {
 		c.limited = n
--- a/internal/policy/caller/limits.go
+++ b/internal/policy/caller/limits.go
@@ -77,3 +77,9 @@
 	v.Age += t - h.at
 	return &v
 }
+
+// leaving reports whether the run b has said that it is leaving.
+func (n *announcedState) leaving(b lavenderridge.BackendID, t time.Duration) bool {
+	h := n.heard.Load()
+	return h != nil && h.Leaving && h.Backend == b && t-h.at < leavingMemory
+}
