--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -29,6 +30,14 @@
 func (f *Fleet) injectFaults(c context.Context) error {
 	b := time.Now()
 	var g errgroup.Group
+	for _, l := range f.plan.Limits {
+		g.Go(func() error {
+			if e := lavenderridge.Sleep(c, time.Until(b.Add(l.At))); e != nil {
+				return nil
+			}
+			return f.nameLimit(c, l)
+		})
+	}
 	for _, s := range f.plan.Steps {
 		if e := lavenderridge.Sleep(c, time.Until(b.Add(s.At))); e != nil {
 			break
@@ -38,6 +47,19 @@
 	return g.Wait()
 }
 
+// nameLimit makes a backend server name the limit l for its duration.
+func (f *Fleet) nameLimit(c context.Context, l plan.Limit) error {
+	p := f.processes[l.Daemon]
+	b := time.Now()
+	p.backend.Announce(false, strconv.FormatFloat(float64(l.Rate), 'g', -1, 64))
+	e := lavenderridge.Sleep(c, l.Duration)
+	f.mutex.Lock()
+	f.history.LimitPeriods = append(f.history.LimitPeriods, judge.LimitPeriod{Instance: p.instance.ID, From: b, To: time.Now(), Rate: l.Rate})
+	f.mutex.Unlock()
+	p.backend.Announce(false)
+	return e
+}
+
 // inject injects the fault of the step s and returns when it has ended.
 func (f *Fleet) inject(c context.Context, s plan.Step) error {
 	switch s.Fault {
--- a/internal/soak/judge/history.go
+++ b/internal/soak/judge/history.go
@@ -19,6 +19,8 @@
 	// OutOfServicePeriods are the periods in which data centres were published as
 	// out of service.
 	OutOfServicePeriods []OutOfServicePeriod
+	// LimitPeriods are the periods in which backend servers named limits.
+	LimitPeriods []LimitPeriod
 	// Slots is the limit of concurrent requests at each backend server, and
 	// PeakInFlight the greatest number that ran concurrently, by instance.
 	Slots        lavenderridge.Slots
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -32,6 +32,7 @@
 	v.checkVersionRollbacks(&f)
 	v.checkActivation(&f)
 	v.checkOutOfService(&f)
+	v.checkLimits(&f)
 	for _, n := range slices.Sorted(keys(v.PeakInFlight)) {
 		if v.PeakInFlight[n] > v.Slots {
 			f.Add(string(n), "%d requests ran concurrently; the limit is %d slots", v.PeakInFlight[n], v.Slots)
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/lavenderridge/lavenderridge"
 )
 
 const (
@@ -21,6 +23,9 @@
 	// than three exchanges between daemons.
 	minDuration = 100 * time.Millisecond
 	maxDuration = 3500 * time.Millisecond
+	// minLimitDuration is longer than the time from which a limit must be kept and the
+	// window in which it is.
+	minLimitDuration = 8 * time.Second
 	// maxDelay is the upper bound of the latency that a Delay fault adds.
 	maxDelay = 400 * time.Millisecond
 )
@@ -34,6 +39,8 @@
 	// themselves may last longer.
 	Duration time.Duration
 	Steps    []Step
+	// Limits are the limits that backend servers name, each another one.
+	Limits []Limit
 }
 
 // NewPlan generates the plan of the seed s for n daemons in c data centres, with
@@ -53,9 +60,22 @@
 		}
 	}
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	p.drawLimits(rand.New(rand.NewPCG(s, s+1)))
 	return p
 }
 
+// drawLimits draws limits for up to half of the backend servers. They have a generator of
+// their own, so that the steps of recorded seeds stay the same.
+func (p *Plan) drawLimits(r *rand.Rand) {
+	a := []lavenderridge.Rate{0, 0.5, 1, 4, 15}
+	for _, i := range r.Perm(p.Daemons)[:(p.Daemons+1)/2] {
+		p.Limits = append(p.Limits, Limit{
+			At: time.Duration(r.Int64N(int64(p.Duration)/2 + 1)), Daemon: i, Rate: a[r.IntN(len(a))],
+			Duration: minLimitDuration + time.Duration(r.Int64N(int64(minLimitDuration))),
+		})
+	}
+}
+
 // drawStep draws a step with the fault k at the time t. Draws must keep their
 // order and number: recorded seeds depend on them.
 func (p *Plan) drawStep(r *rand.Rand, k Fault, t time.Duration) Step {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -19,6 +19,12 @@
 		for _, v := range NewPlan(s, 4, 2, 2*time.Second).Steps {
 			_, _ = fmt.Fprintln(&b, v)
 		}
+		if d.HasArg("limits") {
+			b.Reset()
+			for _, v := range NewPlan(s, 4, 2, 2*time.Second).Limits {
+				_, _ = fmt.Fprintln(&b, v)
+			}
+		}
 		return b.String()
 	})
 }
