--- a/internal/policy/backendserver/announcements.go
+++ b/internal/policy/backendserver/announcements.go
@@ -39,7 +39,7 @@
 	rate *RequestRate
 	// heardAt is when the notice was heard last.
 	heardAt atomic.Int64
-	// sent counts the requests that were sent since then.
+	// sent counts the requests that were sent since the limit was named first.
 	sent *atomic.Int64
 }
 
@@ -108,8 +108,8 @@
 	}
 }
 
-// outranks reports whether the state p, which may be nil, holds in place of the notice
-// n that another daemon reports at u.
+// outranks reports whether the state p, which may be nil, holds rather than the notice n
+// that another daemon reports at u.
 func (p *announced) outranks(n *lavenderridge.HeardNotice, u time.Duration) bool {
 	return p != nil && p.notice.Backend == n.Backend && (!p.told || time.Duration(p.heardAt.Load()) >= u-n.Age)
 }
--- a/internal/soak/judge/limits.go
+++ b/internal/soak/judge/limits.go
@@ -43,10 +43,10 @@
 // runsOfTold returns the times, in order, at which requests began to run at the backend
 // server of the period p that count towards its limit. The map m contains all sends.
 func (v *History) runsOfTold(p LimitPeriod, m map[lavenderridge.RequestID]Send) []time.Time {
-	var answers []Send
+	var w []Send
 	for _, r := range v.Runs {
 		if s, o := m[r.Request]; o && r.Instance == p.Instance && s.Result == Answered && !r.Begun.Before(p.From) && r.Begun.Before(p.To) {
-			answers = append(answers, s)
+			w = append(w, s)
 		}
 	}
 	var a []time.Time
@@ -55,7 +55,7 @@
 		if !o || r.Instance != p.Instance || r.Begun.Before(p.From.Add(limitContact)) || r.Begun.After(p.To) {
 			continue
 		}
-		if slices.ContainsFunc(answers, func(k Send) bool {
+		if slices.ContainsFunc(w, func(k Send) bool {
 			return k.Daemon == s.Daemon && !k.Ended.After(r.Begun.Add(-limitNotice)) && !v.interrupted(s.Daemon, k.Ended.Add(-limitNotice), r.Begun)
 		}) {
 			a = append(a, r.Begun)
