Tell runs of a backend server under one name apart by their start

What could be seen: a backend server that starts again under the identity that it had is another run, which has announced nothing. The adapter parsed the start of a run and dropped it, so a limit or a notice of leaving of the earlier run stayed in force at all daemons: other daemons sent nothing for up to 30 s to a server that had said it was leaving, although it was back and listed.

Cause: a BackendID is documented as the identity of one run, and the adapter filled in the name only. It is the same class of fault as the limit itself: a message says it, and nobody uses it. The owner takes the run of a request from the list that admits the request, which also saves looking it up again.

--- a/health.go
+++ b/health.go
@@ -7,8 +7,9 @@
 type Health struct {
 	Ready    bool
 	InFlight Slots
-	// Boot identifies the backend server's current run and changes on a restart;
-	// it is empty if the backend server does not report it.
+	// Boot identifies the backend server's current run. It may be only the name of
+	// the run, which a later one may share, and is empty if the backend server does not
+	// report it.
 	Boot string
 	// Cold is the remaining time for which the backend server is cold.
 	Cold time.Duration
--- a/internal/daemon/backendserver/notices.go
+++ b/internal/daemon/backendserver/notices.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// hearFromSender records what the sender of r has heard of the backend server, which
-// matters if this daemon has restarted since and has heard nothing itself yet.
-func (h *OwnerHandler) hearFromSender(r *lavenderridge.Request, t time.Time) {
-	if r.Heard == nil || r.Heard.Backend != r.Backend || r.Backend != h.currentRun() {
+// hearFromSender records what the sender of r has heard of the run b of the backend
+// server, which matters if this daemon has restarted since and has heard nothing itself
+// yet.
+func (h *OwnerHandler) hearFromSender(r *lavenderridge.Request, b lavenderridge.BackendID, t time.Time) {
+	if r.Heard == nil || r.Heard.Backend != r.Backend || r.Backend != b {
 		return
 	}
 	n := *r.Heard
@@ -71,7 +72,7 @@
 // hearHealth records the notice in the health p.
 func (h *OwnerHandler) hearHealth(p *lavenderridge.Health, t time.Time) {
 	b := h.currentRun()
-	if b != "" && p.Boot != "" && p.Boot != string(b) {
+	if b != "" && p.Boot != "" && p.Boot != string(b.Name()) {
 		return
 	}
 	h.recordNotice(h.announced.HeardHealth(b, p.Notice, p.Ready && h.runEnded.Load(), t))
@@ -94,8 +95,11 @@
 // limitedSlots returns how many of n slots the requests within the named limit take up
 // on average, by their recent latency. Other daemons divide the load by it.
 func (h *OwnerHandler) limitedSlots(n lavenderridge.Slots) lavenderridge.Slots {
+	if n <= 1 || !h.announced.Limited() {
+		return n
+	}
 	v := h.announced.Notice(h.currentRun(), h.clock.Now())
-	if !v.Limited || n <= 1 {
+	if !v.Limited {
 		return n
 	}
 	return max(1, min(n, lavenderridge.Slots(math.Ceil(min(float64(v.Limit)*h.limiter.Latency().Seconds(), float64(n))))))
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -101,7 +101,7 @@
 		return nil, h.notRun(lavenderridge.ReasonStopping, "the daemon is shutting down", unavailableRetryAfter)
 	}
 	defer h.drain.Leave()
-	v, e := h.checkRequest(r, t)
+	v, n, e := h.checkRequest(r, t)
 	if e != nil {
 		return nil, e
 	}
@@ -111,7 +111,7 @@
 		case backendserver.DispositionRefused:
 			return nil, h.notRun(lavenderridge.ReasonQuarantined, "the request crashed a backend server", w)
 		case backendserver.DispositionNormal:
-			return h.handleNormal(c, v, r, t)
+			return h.handleNormal(c, v, n, r, t)
 		}
 		p, e := h.handleExclusive(c, v, r, t)
 		if e == nil || !h.waitBeforeRetry(c, e, t.Sub(b)) {
@@ -139,20 +139,20 @@
 	}
 }
 
-// handleNormal handles a request that is not a suspect.
-func (h *OwnerHandler) handleNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
-	if w := h.announced.Wait(r.Backend, r.Class, t); w > 0 {
+// handleNormal handles a request for the run n that is not a suspect.
+func (h *OwnerHandler) handleNormal(c context.Context, v *lavenderridge.Service, n lavenderridge.BackendID, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
+	if w := h.announced.Wait(n, r.Class, t); w > 0 {
 		return nil, h.limitRefusal(w)
 	}
 	if e := h.admitWithinCapacity(v, r, t); e != nil {
 		return nil, e
 	}
-	n, e := h.reserveUplink(r, t)
+	u, e := h.reserveUplink(r, t)
 	if e != nil {
 		return nil, e
 	}
 	p, e := h.runNormal(c, v, r, t)
-	h.releaseUplink(r, n, p)
+	h.releaseUplink(r, u, p)
 	return p, e
 }
 
@@ -191,38 +191,38 @@
 	return p, e
 }
 
-// checkRequest returns the service of r with the slots of this instance, or a
-// refusal if this daemon may not run r at the time t.
-func (h *OwnerHandler) checkRequest(r *lavenderridge.Request, t time.Time) (*lavenderridge.Service, error) {
+// checkRequest returns the service of r with the slots of this instance and the listed
+// run of the backend server, or a refusal if this daemon may not run r at the time t.
+func (h *OwnerHandler) checkRequest(r *lavenderridge.Request, t time.Time) (*lavenderridge.Service, lavenderridge.BackendID, error) {
 	if e := h.readiness.Ready(t); e != nil {
-		return nil, h.withPlace(e)
+		return nil, "", h.withPlace(e)
 	}
 	s := h.snapshots.Snapshot()
 	if s == nil {
-		return nil, h.notRun(lavenderridge.ReasonNotReady, "no configuration accepted yet", unavailableRetryAfter)
+		return nil, "", h.notRun(lavenderridge.ReasonNotReady, "no configuration accepted yet", unavailableRetryAfter)
 	}
 	if r.Target != h.self().Instance {
-		return nil, h.notRun(lavenderridge.ReasonWrongTarget, "the request is for another instance", 0)
+		return nil, "", h.notRun(lavenderridge.ReasonWrongTarget, "the request is for another instance", 0)
 	}
 	v := s.Service(r.Service)
 	if v == nil {
-		return nil, h.notRun(lavenderridge.ReasonNoRoute, "the service is not in the catalogue", 0)
+		return nil, "", h.notRun(lavenderridge.ReasonNoRoute, "the service is not in the catalogue", 0)
 	}
 	if e := h.checkEligible(s, t); e != nil {
-		return nil, e
+		return nil, "", e
 	}
-	h.hearFromSender(r, t)
-	if h.announced.Leaving(h.currentRun()) {
-		return nil, h.leavingRefusal()
+	n := s.Instance(r.Target)
+	h.hearFromSender(r, n.Backend, t)
+	if h.announced.Leaving(n.Backend) {
+		return nil, "", h.leavingRefusal()
 	}
 	if h.listed == nil {
-		return v, nil
+		return v, n.Backend, nil
 	}
-	n := s.Instance(r.Target)
 	if n.Service != r.Service || r.Backend != "" && n.Backend != r.Backend {
-		return nil, h.notRun(lavenderridge.ReasonWrongTarget, "the instance list names another backend server for this instance", 0)
+		return nil, "", h.notRun(lavenderridge.ReasonWrongTarget, "the instance list names another backend server for this instance", 0)
 	}
-	return h.listed.service(s, v, n), nil
+	return h.listed.service(s, v, n), n.Backend, nil
 }
 
 // checkEligible returns a refusal if this instance is not eligible under the
@@ -272,13 +272,14 @@
 // gone out of service while it waited.
 func (h *OwnerHandler) run(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, a bool) (*lavenderridge.Response, error) {
 	b := h.clock.Now()
-	if _, e := h.checkRequest(r, b); e != nil {
+	_, n, e := h.checkRequest(r, b)
+	if e != nil {
 		return nil, e
 	}
 	if e := h.enterColdStart(v, r, b); e != nil {
 		return nil, e
 	}
-	if w := h.announced.Take(r.Backend, r.Class, b); w > 0 {
+	if w := h.announced.Take(n, r.Class, b); w > 0 {
 		return nil, h.limitRefusal(w)
 	}
 	h.requestsSent.Add(1)
--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -37,6 +37,7 @@
 	decisions []string
 	shown     map[lavenderridge.RequestID]string
 	owner     *backendserver.OwnerHandler
+	run       lavenderridge.BackendID // the listed run of the backend server
 }
 
 func (s *session) Now() time.Time {
@@ -97,13 +98,14 @@
 	if d != nil && d.HasArg("leaving") {
 		l.Instances[0].State = lavenderridge.InstanceLeaving
 	}
+	l.Instances[0].Backend = s.run
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.snapshot = lavenderridge.NewSnapshot(c, l, lavenderridge.Stamps{}, s.now)
 }
 
 func (s *session) send(id, path string, k lavenderridge.Class, deadline time.Duration) {
-	r := &lavenderridge.Request{ID: lavenderridge.RequestID(id), Target: "a", Service: "billing", Class: k, Method: "POST", Path: path, Deadline: s.Now().Add(deadline)}
+	r := &lavenderridge.Request{ID: lavenderridge.RequestID(id), Target: "a", Service: "billing", Backend: s.run, Class: k, Method: "POST", Path: path, Deadline: s.Now().Add(deadline)}
 	s.mutex.Lock()
 	s.sent++
 	delete(s.shown, r.ID)
@@ -229,7 +231,10 @@
 	return strings.Join(append(a, fmt.Sprintf("in flight %d, queued %d, limit %d", l.InFlight, l.Queued, l.Limit)), "\n") + "\n"
 }
 
-func (s *session) run(t *testing.T, d *datadriven.TestData) string {
+func (s *session) command(t *testing.T, d *datadriven.TestData) string {
+	if d.Cmd == "open" || d.Cmd == "publish" {
+		d.MaybeScanArgs(t, "run", (*string)(&s.run))
+	}
 	switch d.Cmd {
 	case "open":
 		v := lavenderridge.Service{ID: "billing", Slots: 10, Connections: 130, Queue: 2}
@@ -288,7 +293,12 @@
 			s.mutex.Unlock()
 			return "ok\n"
 		}
-		s.owner.HearNotice(&lavenderridge.Request{}, n)
+		s.owner.HearNotice(&lavenderridge.Request{Backend: s.run}, n)
+	case "late":
+		r, n := lavenderridge.Request{}, lavenderridge.Notice{Limited: true}
+		d.ScanArgs(t, "run", (*string)(&r.Backend))
+		d.ScanArgs(t, "limit", (*float64)(&n.Limit))
+		s.owner.HearNotice(&r, n)
 	case "sleep":
 		n := 0
 		d.ScanArgs(t, "ms", &n)
@@ -319,6 +329,6 @@
 			now: time.Unix(1000, 0), shown: map[lavenderridge.RequestID]string{}, ended: map[lavenderridge.RequestID]string{},
 			running: map[lavenderridge.RequestID]chan func() (*lavenderridge.Response, error){},
 		}
-		datadriven.RunTest(t, path, s.run)
+		datadriven.RunTest(t, path, s.command)
 	})
 }
--- a/internal/policy/backendserver/announcements.go
+++ b/internal/policy/backendserver/announcements.go
@@ -137,6 +137,13 @@
 	return w
 }
 
+// Limited reports whether the run that was heard last has named a limit that is in
+// force. It is a quick check for the path of a request.
+func (a *Announcements) Limited() bool {
+	p := a.state.Load()
+	return p != nil && p.notice.Limited
+}
+
 // Leaving reports whether the run b has said that it is leaving.
 func (a *Announcements) Leaving(b lavenderridge.BackendID) bool {
 	p := a.current(b)
--- a/internal/policy/instancelist/validate.go
+++ b/internal/policy/instancelist/validate.go
@@ -9,13 +9,15 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// Limits of an instance list: instances, bytes in a name, and the slots and the
-// remaining cold time of an instance.
+// Limits of an instance list: instances, bytes in a name and in the identity of a run,
+// which is a name with a start time, and the slots and the remaining cold time of an
+// instance.
 const (
-	maxInstances = 1 << 14
-	MaxNameBytes = 200
-	MaxSlots     = 1 << 16
-	maxColdLeft  = 24 * time.Hour
+	maxInstances    = 1 << 14
+	MaxNameBytes    = 200
+	maxBackendBytes = MaxNameBytes + 24
+	MaxSlots        = 1 << 16
+	maxColdLeft     = 24 * time.Hour
 )
 
 // Validate returns every fault of l: too many instances, empty, duplicate or
@@ -68,8 +70,8 @@
 	checkName(d, ".ID", string(n.ID))
 	checkName(d, ".DataCentre", string(n.DataCentre))
 	checkName(d, ".Service", string(n.Service))
-	if len(n.Backend) > MaxNameBytes {
-		d(".Backend", "%d bytes are above the limit of %d", len(n.Backend), MaxNameBytes)
+	if len(n.Backend) > maxBackendBytes {
+		d(".Backend", "%d bytes are above the limit of %d", len(n.Backend), maxBackendBytes)
 	}
 	if n.State != lavenderridge.InstanceLive && n.State != lavenderridge.InstanceLeaving {
 		d(".State", "%s is not a state; want Live or Leaving", shorten(string(n.State)))
