Keep what a daemon knows of a target for one run of its backend server only

What callers saw: after a backend server was replaced at its address, or started again, requests were still refused or moved for the limit of the run before it, and its failures still kept requests away, until these memories ended by themselves.

Cause: the route table carried the state of a target over from one instance list to the next by instance, whatever run the list named, and the time until which a limit leaves no room was kept without the run that had named it. The owner had told runs apart, the other daemons hadn't.

The state of a target is now that of one run: a list that names another run begins a new one, as a list already did for a target that had left and returned. Notices and refusals that arrive late from an earlier run are dropped.

Evidence: testdata/session/rerouting/laterrun. Before, the next run listed at the address got no request for the 20 s that the earlier one's limit left no room: "refused by a: NotRun BackendLimit retry-after=20s"; now "status 200 from a".

--- a/internal/daemon/assembly/discard.go
+++ b/internal/daemon/assembly/discard.go
@@ -38,7 +38,7 @@
 }
 
 // Limited implements lavenderridge.Tracker.
-func (discard) Limited(lavenderridge.ServiceID, lavenderridge.InstanceID, lavenderridge.Class, time.Time) {
+func (discard) Limited(lavenderridge.ServiceID, lavenderridge.InstanceID, lavenderridge.BackendID, lavenderridge.Class, time.Time) {
 }
 
 // Answered implements lavenderridge.Tracker.
--- a/internal/daemon/caller/forwardhandler.go
+++ b/internal/daemon/caller/forwardhandler.go
@@ -117,7 +117,7 @@
 		h.tracker.Noticed(q.Service, q.Target, *f.Heard, t)
 	}
 	if f.Reason == lavenderridge.ReasonBackendLimit {
-		h.tracker.Limited(q.Service, q.Target, q.Class, t.Add(f.RetryAfter))
+		h.tracker.Limited(q.Service, q.Target, q.Backend, q.Class, t.Add(f.RetryAfter))
 	}
 }
 
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -119,7 +119,7 @@
 	case w[0] == "full":
 		f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBackendLimit, "scripted")
 		v, _ := strconv.ParseFloat(w[1], 64)
-		f.Place, f.Heard = n.instance, &lavenderridge.HeardNotice{Notice: lavenderridge.Notice{Limited: true, Limit: lavenderridge.Rate(v)}, Place: n.instance}
+		f.Place, f.Heard = n.instance, &lavenderridge.HeardNotice{Notice: lavenderridge.Notice{Limited: true, Limit: lavenderridge.Rate(v)}, Backend: r.Backend, Place: n.instance}
 		f.RetryAfter, _ = time.ParseDuration(w[2])
 		return nil, f
 	case w[0] == "named":
@@ -173,11 +173,7 @@
 	case "instances":
 		s.list.Instances = nil
 		for l := range strings.Lines(d.Input) {
-			n := lavenderridge.Instance{Service: "billing"}
-			if _, e := fmt.Sscan(l, &n.ID, &n.DataCentre, &n.State); e != nil {
-				d.Fatalf(t, "%v", e)
-			}
-			s.list.Instances = append(s.list.Instances, n)
+			s.list.Instances = append(s.list.Instances, parseInstance(t, d, l))
 		}
 		s.publish()
 	case "catalogue":
@@ -213,6 +209,22 @@
 	return ""
 }
 
+// parseInstance parses the line l, which has an instance, its data centre, its state and
+// the run of its backend server, which may be missing.
+func parseInstance(t *testing.T, d *datadriven.TestData, l string) lavenderridge.Instance {
+	w := strings.Fields(l)
+	if len(w) < 3 {
+		d.Fatalf(t, "%q has %d words; want 3 or 4", l, len(w))
+	}
+	n := lavenderridge.Instance{
+		Service: "billing", ID: lavenderridge.InstanceID(w[0]), DataCentre: lavenderridge.DataCentreID(w[1]), State: lavenderridge.InstanceState(w[2]),
+	}
+	if len(w) > 3 {
+		n.Backend = lavenderridge.BackendID(w[3])
+	}
+	return n
+}
+
 func (s *session) request(t *testing.T, d *datadriven.TestData) string {
 	r := &lavenderridge.Request{ID: "r", Method: "POST", NoRetry: d.HasArg("no-retry")}
 	n := 1
--- a/internal/policy/caller/balancedrouter.go
+++ b/internal/policy/caller/balancedrouter.go
@@ -151,14 +151,14 @@
 
 // Noticed implements lavenderridge.Tracker.
 func (b *BalancedRouter) Noticed(d lavenderridge.ServiceID, n lavenderridge.InstanceID, h lavenderridge.HeardNotice, t time.Time) {
-	if v := b.state(d, n); v != nil {
+	if v := b.state(d, n); v != nil && v.run == h.Backend {
 		v.notice(h, t.Sub(b.start))
 	}
 }
 
 // Limited implements lavenderridge.Tracker.
-func (b *BalancedRouter) Limited(d lavenderridge.ServiceID, n lavenderridge.InstanceID, k lavenderridge.Class, t time.Time) {
-	if v := b.state(d, n); v != nil {
+func (b *BalancedRouter) Limited(d lavenderridge.ServiceID, n lavenderridge.InstanceID, a lavenderridge.BackendID, k lavenderridge.Class, t time.Time) {
+	if v := b.state(d, n); v != nil && v.run == a {
 		v.full(k, t.Sub(b.start))
 	}
 }
--- a/internal/policy/caller/choice.go
+++ b/internal/policy/caller/choice.go
@@ -24,7 +24,7 @@
 // hasRoom reports whether n isn't leaving and its limit, if there is one, has room for
 // the request.
 func (c *choice) hasRoom(n *target) bool {
-	if n.leaving(n.instance.Backend, c.now) {
+	if n.leaving(c.now) {
 		return false
 	}
 	w := n.roomIn(c.class, c.now)
--- a/internal/policy/caller/limits.go
+++ b/internal/policy/caller/limits.go
@@ -8,17 +8,17 @@
 )
 
 // leavingMemory is how long a backend server that said that it is leaving gets no
-// requests while it stays listed. A run that starts again under the same identity is
-// used after that.
+// requests while it stays listed. Where the platform doesn't identify runs, the next one
+// is used after that.
 const leavingMemory = 30 * time.Second
 
 // confirmLimitAfter is the age at which a limit is confirmed by a request, even if other
 // targets look better: only a response can end a limit.
 const confirmLimitAfter = 2 * time.Second
 
-// announcedState is what a daemon knows of the announcements of one target. Like the
-// rest of the state of a target, it consists of hints for the choice of targets: the
-// owner keeps the limit.
+// announcedState is what a daemon knows of the announcements of the run at one target.
+// Like the rest of the state of a target, it consists of hints for the choice of targets:
+// the owner keeps the limit.
 type announcedState struct {
 	heard atomic.Pointer[heardAt]
 	// fullUntil is, for each class, the time before which the limit leaves no room for
@@ -46,7 +46,7 @@
 	if !h.Limited && !h.Leaving && (o == nil || !o.Limited && !o.Leaving) {
 		return
 	}
-	if o != nil && o.Backend == h.Backend {
+	if o != nil {
 		h.Leaving = h.Leaving || o.Leaving && t-o.at < leavingMemory
 		if h.Invalid {
 			h.Limited, h.Limit = o.Limited, o.Limit
@@ -78,8 +78,8 @@
 	return &v
 }
 
-// leaving reports whether the run b has said that it is leaving.
-func (n *announcedState) leaving(b lavenderridge.BackendID, t time.Duration) bool {
+// leaving reports whether the run has said that it is leaving.
+func (n *announcedState) leaving(t time.Duration) bool {
 	h := n.heard.Load()
-	return h != nil && h.Leaving && h.Backend == b && t-h.at < leavingMemory
+	return h != nil && h.Leaving && t-h.at < leavingMemory
 }
--- a/internal/policy/caller/routetable.go
+++ b/internal/policy/caller/routetable.go
@@ -34,14 +34,15 @@
 }
 
 // newRouteTable returns the table of the service d in the snapshot s. Targets
-// that are also in the previous table p, which may be nil, keep their state.
+// that are also in the previous table p, which may be nil, with the same run keep their
+// state.
 func newRouteTable(b *BalancedRouter, s *lavenderridge.Snapshot, d lavenderridge.ServiceID, p *routeTable) *routeTable {
 	v := &routeTable{snapshot: s, byID: make(map[lavenderridge.InstanceID]*targetState)}
 	for _, n := range s.Instances(d) {
 		if s.Eligible(n) {
 			g := b.distance(s, n)
 			v.groups[g] = append(v.groups[g], target{instance: n})
-			v.keepState(n.ID, p)
+			v.keepState(n, p)
 		}
 	}
 	for i := range v.groups {
@@ -53,14 +54,14 @@
 	return v
 }
 
-// keepState copies the state of the instance i from the previous table p,
+// keepState copies the state of the run at the instance n from the previous table p,
 // whether or not the instance is in the new subset.
-func (v *routeTable) keepState(i lavenderridge.InstanceID, p *routeTable) {
+func (v *routeTable) keepState(n *lavenderridge.Instance, p *routeTable) {
 	if p == nil {
 		return
 	}
-	if n := p.byID[i]; n != nil {
-		v.byID[i] = n
+	if o := p.byID[n.ID]; o != nil && o.run == n.Backend {
+		v.byID[n.ID] = o
 	}
 }
 
@@ -68,7 +69,7 @@
 func (v *routeTable) attachState(n *target) {
 	n.targetState = v.byID[n.instance.ID]
 	if n.targetState == nil {
-		n.targetState = &targetState{}
+		n.targetState = &targetState{run: n.instance.Backend}
 		v.byID[n.instance.ID] = n.targetState
 	}
 }
--- a/internal/policy/caller/target.go
+++ b/internal/policy/caller/target.go
@@ -42,11 +42,13 @@
 	*targetState
 }
 
-// targetState is the state of one instance across snapshots. All times are
+// targetState is the state of one run at one instance across snapshots. All times are
 // relative to the router's start. The values are hints, so they are read and
 // written separately and need not be consistent with each other.
 type targetState struct {
 	announcedState
+	// run is the run of the backend server; it doesn't change.
+	run lavenderridge.BackendID
 	// inFlight counts the requests of this daemon at the target.
 	inFlight atomic.Int64
 	// reportedLoad holds the requests of other daemons and the limit, packed.
@@ -91,8 +93,8 @@
 }
 
 // end removes one request from the count and returns the new count. The count
-// does not fall below zero: a target that left the list and returned has a new
-// state, which does not count the requests that began before.
+// does not fall below zero: a target that left the list and returned, or has another
+// run, has a new state, which does not count the requests that began before.
 func (n *targetState) end() int64 {
 	for {
 		v := n.inFlight.Load()
