Let a request own its connection, so that the HTTP library can't send it twice

If the second sending met a full backend server, a request that had run was even answered as not run.

Cause: net/http repeats some requests by itself below the decisions of the daemon, depending on method, body and header fields, and the list of fields that hide this from it was one name short. sendTracker saw only the last connection.

A connection to the backend server now writes nothing unless a request owns it. A request owns its first connection, and another one only if nothing was written to the first; the first is closed to writes before that is decided. Whatever the library does, a second sending ends in a connection that doesn't write, and the caller is told that the request may have run. The list of field names is gone. Health checks go the same way.

The other clients: calls between daemons use one HTTP/2 connection directly, which has no repeats of its own, and are sent again only while the message was not handed over whole; the clients of the stores send reads only. The clients of the soak and of the load tool stand for callers, which may resend.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -10,7 +10,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -76,12 +75,14 @@
 // only if no byte of the request was sent, or if the response states that the
 // backend server did not run the request.
 func (l *Client) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
-	s := &sendTracker{}
 	// Cancelling the context closes the connection of a request that ended
 	// early, so that no later request uses it.
 	c, f := context.WithCancel(c)
 	defer f()
-	q, e := l.newRequest(httptrace.WithClientTrace(c, s.trace()), r)
+	s := &sendTracker{}
+	x, d := s.begin(c)
+	defer d()
+	q, e := l.newRequest(x, r)
 	if e != nil {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e.Error())
 	}
@@ -96,10 +97,10 @@
 	defer k.Stop()
 	p, e := o.http.Do(q)
 	if e != nil {
-		return nil, requestRefusal(c, s, e)
+		return nil, requestRefusal(x, s, e)
 	}
 	defer func() { _ = p.Body.Close() }()
-	return l.readResponse(c, r, p, s)
+	return l.readResponse(x, r, p, s)
 }
 
 // readResponse reads the whole response p. Unless the protocol allows them, it
@@ -146,23 +147,19 @@
 	return !o && p.ContentLength < 0 && len(p.TransferEncoding) == 0
 }
 
-// Names of header fields on which the HTTP library acts, and the lower-case
-// names under which it does not recognise them. It would follow a redirect to
-// Location, and resend a request with an Idempotency-Key.
+// The HTTP library would follow a redirect to Location. It doesn't recognise the name in
+// lower case.
 const (
 	locationField       = "Location"
 	hiddenLocationField = "location"
-	keyField            = "Idempotency-Key"
-	hiddenKeyField      = "idempotency-key"
 )
 
-// opaqueBody hides the concrete type of its reader. If the HTTP library
-// recognised the type, it could rewind the body and resend the request.
+// opaqueBody hides the concrete type of its reader, so that the HTTP library seldom tries
+// to repeat a request. It couldn't, but would close another connection.
 type opaqueBody struct{ io.Reader }
 
-// newBody returns the body of r. The HTTP library resends a request without a
-// body only if its method is safe, so an empty body is opaque only with these
-// methods.
+// newBody returns the body of r. An empty body is opaque only with safe methods, for which
+// the HTTP library looks whether it is empty; others would be sent in chunks.
 func newBody(r *lavenderridge.Request) io.Reader {
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
@@ -181,7 +178,6 @@
 	}
 	q.ContentLength = int64(len(r.Body))
 	maps.Copy(q.Header, http.Header(r.Header))
-	renameField(q.Header, keyField, hiddenKeyField)
 	q.Host = r.Host
 	var d time.Duration
 	if t, o := c.Deadline(); o {
@@ -206,6 +202,7 @@
 		o, r = lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable
 	}
 	switch {
+	case errors.Is(context.Cause(c), errSentBefore):
 	case errors.Is(c.Err(), context.DeadlineExceeded):
 		r = lavenderridge.ReasonDeadline
 	case c.Err() != nil:
@@ -255,6 +252,8 @@
 // open for another reason than a timeout.
 func (l *Client) Probe(c context.Context) (lavenderridge.Health, error) {
 	var h lavenderridge.Health
+	c, f := (&sendTracker{}).begin(c)
+	defer f()
 	q, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+string(l.address)+l.healthCheckPath(), http.NoBody)
 	if e != nil {
 		return h, fmt.Errorf("backendhttp: probe: %w", e)
--- a/internal/transport/backendhttp/countedconn.go
+++ b/internal/transport/backendhttp/countedconn.go
@@ -11,9 +11,10 @@
 const sealedBit int64 = 1 << 62
 
 // countedConn counts the bytes written to a connection and calls onClose when
-// the connection is closed.
+// the connection is closed. Only the request that owns it may write.
 type countedConn struct {
 	net.Conn
+	owner   atomic.Pointer[sendTracker]
 	written atomic.Int64 // bytes; has sealedBit after seal
 	close   sync.Once
 	onClose func()
@@ -21,6 +22,9 @@
 
 // Write implements net.Conn.
 func (n *countedConn) Write(b []byte) (int, error) {
+	if n.owner.Load() == nil {
+		return 0, net.ErrClosed
+	}
 	// Count the bytes before the system call, because a call that fails may
 	// still have sent some of them.
 	if n.written.Add(int64(len(b)))&sealedBit != 0 {
