Bound the memory of bodies, and pass large ones between daemons without copies

What callers saw: one request with a body of 48 MiB, inside the limits that the platform publishes, took its daemon above 284 MiB. A body above 8 MiB reached no other daemon at all.

Cause: only the responses of backend servers had a budget. Bodies of requests were read whatever else was in memory, with buffers that double, and were copied twice more into the message to another daemon, whose size is limited; responses between daemons had no budget either.

- One budget for all bodies of a process (operator.BodyBudget), by default five eighths of the memory that the platform gives, with a checked setting Limits.BodyMemory.
Large requests, small ones and responses have parts of their own, so that a large one delays no small one and responses don't wait for requests.
Its path takes no lock while there is memory.
- A request without memory waits for 250 ms at most and is then refused as not run, its body unread.
What has begun is finished: a response waits until its deadline, held back at its sender by the windows of HTTP/2.
Only a response that grows without an announced length never waits, since those who hold a buffer would wait for each other (seen in a test while this was written).
- A body from 64 KiB follows its message in place of being a part of it.
Daemons of earlier versions neither send nor get such replies; a large request to one is refused as not run and goes elsewhere (by the code, not played).
- The garbage collector works harder from nine tenths of the memory.

The metric lavenderridge_body_memory_bytes shows what is in use.

TestEndlessBodiesShareMemory used the bound on responses that are being read, which is gone; it now takes the same 8 MiB (7.2 MiB) from a budget and also plays bodies without a length. What it expects is unchanged.

TestBodiesBetweenDaemons: 64 MiB both ways, before "peerhttp: message too large". TestBodyBudget, TestBodiesStayWithinTheirMemory.

--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 
@@ -18,6 +19,10 @@
 	"github.com/lavenderridge/lavenderridge/platform"
 )
 
+// memoryLimitTenths is the part of the daemon's memory, in tenths, from which the garbage
+// collector works harder. The rest is for what the runtime doesn't count.
+const memoryLimitTenths = 9
+
 // serveCmd runs the daemon until it receives SIGTERM or SIGINT.
 type serveCmd struct {
 	clause       *kingpin.CmdClause
@@ -53,6 +58,9 @@
 	g.Go(func() { w.Run(x) })
 	defer g.Wait()
 	defer n()
+	if v.Daemon.Memory > 0 {
+		debug.SetMemoryLimit(int64(v.Daemon.Memory) / 10 * memoryLimitTenths)
+	}
 	l := v.Log.Logger(w)
 	kratoslog.SetLogger(kratosLogger{log: l})
 	if !v.OperatorIsLoopback() {
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -40,6 +40,8 @@
 	maxColdFactor         = 10.0
 	maxLinkMegabits       = 1e6
 	maxMemoryMegabytes    = 1e6
+	bodyMemoryShare       = 0.625 // of the daemon's memory
+	maxBodyMemory         = 1 << 20 * lavenderridge.Mebibyte
 	bitsPerMegabit        = 1e6
 	bytesPerMegabyte      = 1e6
 	maxColdSlack          = 1000.0
@@ -172,12 +174,32 @@
 	d.Metrics = r.optionalAddress("Operator.Metrics")
 	d.LinkRate = lavenderridge.BitRate(r.number("Limits.LinkMegabits", 0, maxLinkMegabits) * bitsPerMegabit)
 	d.Memory = lavenderridge.ByteCount(r.number("Limits.MemoryMegabytes", 0, maxMemoryMegabytes) * bytesPerMegabyte)
+	s.readBodyMemory(r)
 	d.ColdFactor = r.number("Backend.ColdFactor", defaultColdFactor, maxColdFactor)
 	d.ColdSlack = r.number("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
 	d.RetryRatio = lavenderridge.Ratio(r.number("Retries.Ratio", 0, maxRatio))
 	d.RetryExtra = r.integer("Retries.Extra", 0, 0, maxExtraRetries)
 }
 
+// readBodyMemory reads the memory for bodies. Its default is a share of the daemon's; a
+// value that is set must have room for the largest body.
+func (s *Settings) readBodyMemory(r *reader) {
+	const k = "Limits.BodyMemory"
+	d := &s.Daemon
+	d.BodyMemory = lavenderridge.ByteCount(float64(d.Memory) * bodyMemoryShare)
+	n := r.size(k, 0, lavenderridge.Mebibyte, maxBodyMemory)
+	if n == 0 {
+		return
+	}
+	d.BodyMemory = n
+	if m := operator.NewBodyBudget(n).LargestRequest(d.MaxBody); m < d.MaxBody {
+		r.add(k, "%q has room for a body of %q, which is less than Limits.MaxBody", formatSize(n), formatSize(m))
+	}
+	if d.Memory > 0 && n > d.Memory {
+		r.add(k, "%q is more than Limits.MemoryMegabytes", formatSize(n))
+	}
+}
+
 func (s *Settings) readKeys(r *reader) {
 	if s.ephemeral = r.boolean("Keys.Ephemeral", false); s.ephemeral {
 		return
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -35,6 +35,7 @@
 	o := []callerhttp.Option{
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
+		callerhttp.WithBodies(d.bodies),
 		callerhttp.WithLimits(func() lavenderridge.CallerLimits {
 			if s := d.configuration.store.Snapshot(); s != nil {
 				return s.Catalogue.Callers
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -52,6 +52,9 @@
 	LinkRate lavenderridge.BitRate
 	// Memory is the memory that the daemon may use; zero means unknown.
 	Memory lavenderridge.ByteCount
+	// BodyMemory bounds the memory of the bodies of requests and responses; zero means
+	// no bound.
+	BodyMemory lavenderridge.ByteCount
 	// RetryRatio and RetryExtra bound the retries of the whole fleet in any window
 	// of time: the fraction RetryRatio of the requests, plus RetryExtra. If both
 	// are zero, each daemon has a retry budget of its own.
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
+	policy "github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peerhttp"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
@@ -33,6 +34,7 @@
 	service atomic.Pointer[lavenderridge.ServiceID]
 	// adapter is nil unless WithAdapter is used.
 	adapter lavenderridge.Adapter
+	bodies  *policy.BodyBudget
 
 	transport     *peerhttp.Transport
 	server        *peerhttp.Server
@@ -51,6 +53,7 @@
 	d := &Daemon{
 		config: f, log: zap.NewNop(), clock: SystemClock{},
 		recorder: discard{}, observer: discard{}, metrics: metrics.NewRegistry(),
+		bodies: policy.NewBodyBudget(f.BodyMemory),
 	}
 	for _, v := range o {
 		v(d)
@@ -65,7 +68,8 @@
 
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
 	d.records = newOperatorRecords(d, k)
-	if d.transport, e = peerhttp.NewTransport(d.config.Peer, k, peerhttp.WithMetrics(d.metrics)); e != nil {
+	metrics.NewRegisteredFunctionalGauge("BodyMemoryBytes", d.metrics, func() int64 { return int64(d.bodies.Used()) })
+	if d.transport, e = peerhttp.NewTransport(d.config.Peer, k, peerhttp.WithMetrics(d.metrics), peerhttp.WithBodies(d.bodies)); e != nil {
 		return e
 	}
 	d.closeLater(d.transport.Close)
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -9,11 +9,6 @@
 	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
 )
 
-// bodyMemoryShare is the share of the daemon's memory that is available to response
-// bodies that are being read. Growing buffers and the garbage collector take several
-// times that.
-const bodyMemoryShare = 8
-
 // ownerPart forwards requests to the daemon's own backend server.
 type ownerPart struct {
 	service  lavenderridge.ServiceID
@@ -46,11 +41,10 @@
 // backendOptions returns the options that the settings and the adapter require, if
 // there is one.
 func backendOptions(d *Daemon) []backendhttp.Option {
-	o := []backendhttp.Option{backendhttp.WithBodyMemory(d.config.Memory / bodyMemoryShare)}
 	if d.adapter == nil {
-		return o
+		return nil
 	}
-	return append(o,
+	return []backendhttp.Option{
 		backendhttp.WithProtocol(backendProtocol(d)),
 		backendhttp.WithHealthPath(func() string {
 			if s := d.configuration.store.Snapshot(); s != nil {
@@ -59,7 +53,8 @@
 				}
 			}
 			return ""
-		}))
+		}),
+	}
 }
 
 // backendProtocol returns the protocol of backend servers.
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const (
@@ -37,7 +39,6 @@
 	// backend server has refused before, which are in refused.
 	repeatPool *pool
 	refused    refusedIDs
-	bodies     bodyBudget
 	checking   atomic.Bool
 	newPool    func() (*pool, error)
 	protocol   lavenderridge.BackendProtocol
@@ -127,8 +128,8 @@
 	if !l.protocol.AllowsUnframed() && isCloseDelimited(r.Method, p) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response has neither a Content-Length nor a chunked encoding")
 	}
-	b, e := l.bodies.read(p.Body, p.ContentLength, l.maxBody)
-	if errors.Is(e, errBodyTooLarge) || errors.Is(e, errNoBodyMemory) {
+	b, e := l.readBody(c, r, p)
+	if errors.Is(e, plainhttp.ErrBodyTooLarge) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonTooLarge, e.Error())
 	}
 	if e != nil {
@@ -140,6 +141,27 @@
 	}, nil
 }
 
+// readBody returns the body of the response p to r when there is memory for it. While it
+// grows, it doesn't wait for more.
+func (l *Client) readBody(c context.Context, r *lavenderridge.Request, p *http.Response) ([]byte, error) {
+	a, n := operator.BodyAccountOf(c), p.ContentLength
+	if r.Method == http.MethodHead {
+		n = 0
+	}
+	m := a.LargestResponse(l.maxBody)
+	k := false
+	return plainhttp.ReadBody(p.Body, n, m, m, func(n lavenderridge.ByteCount) error {
+		if !k {
+			k = true
+			return a.ReserveResponse(c, n)
+		}
+		if e := a.GrowResponse(n); e != nil {
+			return errors.Join(plainhttp.ErrBodyTooLarge, e)
+		}
+		return nil
+	})
+}
+
 // isCloseDelimited reports whether only the close of the connection marks the
 // end of the response p to a request with the method m.
 func isCloseDelimited(m string, p *http.Response) bool {
--- a/internal/transport/backendhttp/option.go
+++ b/internal/transport/backendhttp/option.go
@@ -21,13 +21,6 @@
 	return func(l *Client) { l.protocol = p }
 }
 
-// WithBodyMemory bounds the memory of the response bodies that are being read at the
-// same time to n bytes. A response that would need more is refused as TooLarge. By
-// default, only the size of each body is bounded.
-func WithBodyMemory(n lavenderridge.ByteCount) Option {
-	return func(l *Client) { l.bodies.limit = n }
-}
-
 // WithNotices makes the client call f with each request that the backend server
 // responds to, and the notice in the response, before the body is read. Responses of
 // another backend server than the expected one are left out.
--- a/internal/transport/callerhttp/option.go
+++ b/internal/transport/callerhttp/option.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
 // An Option configures a Server.
@@ -32,3 +33,9 @@
 func WithLimits(f func() lavenderridge.CallerLimits) Option {
 	return func(s *Server) { s.limits = f }
 }
+
+// WithBodies makes the server take the memory for the bodies of requests and responses
+// out of b. By default there is no bound.
+func WithBodies(b *operator.BodyBudget) Option {
+	return func(s *Server) { s.bodies = b }
+}
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -28,8 +28,14 @@
 	// stopRetryAfter is what callers are told who arrive during a shutdown. A daemon
 	// that is replaced is back about that long after it has exited.
 	stopRetryAfter = time.Second
+	// bodyMemoryRetryAfter is what callers are told for whose bodies there is no memory.
+	bodyMemoryRetryAfter = time.Second
+	// discardTimeout bounds how long the rest of a refused body may take to arrive.
+	discardTimeout = 2 * time.Second
 )
 
+var errBodyMemory = errors.New("callerhttp: the bodies of requests need too much memory")
+
 // A Server passes the requests of callers to a handler and returns its
 // responses.
 type Server struct {
@@ -42,6 +48,7 @@
 	protocol      lavenderridge.CallerProtocol
 	callerService func() lavenderridge.ServiceID
 	limits        func() lavenderridge.CallerLimits
+	bodies        *operator.BodyBudget
 	stopDelay     time.Duration
 	stopping      atomic.Bool
 	// drain holds the running requests. It is started when the stop delay ends.
@@ -52,7 +59,7 @@
 // refuses bodies above m bytes.
 func NewServer(l net.Listener, h lavenderridge.Handler, m lavenderridge.ByteCount, o ...Option) *Server {
 	s := &Server{
-		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout, drain: operator.NewDrain(),
+		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout, drain: operator.NewDrain(), bodies: operator.NewBodyBudget(0),
 		protocol: Protocol{}, callerService: func() lavenderridge.ServiceID { return "" },
 		limits: func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{} },
 	}
@@ -76,15 +83,20 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
-	t := time.Now()
-	b, e := s.readBody(w, q)
+	r, e := s.newRequest(q, time.Now())
 	if e != nil {
-		s.writeRefusal(w, "", bodyRefusal(e))
+		s.refuseUnread(w, q, r.ID, lavenderridge.AsRefusal(e))
 		return
 	}
-	r, e := s.newRequest(q, b, t)
-	if e != nil {
-		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
+	a := s.bodies.NewAccount()
+	defer a.Close()
+	if r.Body, e = s.readBody(w, q, a); e != nil {
+		f := bodyRefusal(e)
+		if f.Reason == lavenderridge.ReasonBadRequest {
+			s.writeRefusal(w, r.ID, f)
+			return
+		}
+		s.refuseUnread(w, q, r.ID, f)
 		return
 	}
 	if !s.drain.Enter() {
@@ -98,7 +110,7 @@
 		s.writeRefusal(w, r.ID, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonCancelled, "the caller has left"))
 		return
 	}
-	p, e := s.handler.Handle(q.Context(), r)
+	p, e := s.handler.Handle(operator.WithBodyAccount(q.Context(), a), r)
 	if e != nil {
 		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
 		return
@@ -106,21 +118,43 @@
 	s.writeResponse(w, p)
 }
 
-// readBody returns the whole body, which must arrive within bodyTimeout. It
+// readBody returns the whole body, which must arrive within bodyTimeout. Before it is
+// read, its memory is taken from a, for which it waits for a short time. It
 // then clears the read deadline, so that the HTTP library can detect that the
 // caller disconnects while the request runs.
-func (s *Server) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
+func (s *Server) readBody(w http.ResponseWriter, q *http.Request, a *operator.BodyAccount) ([]byte, error) {
 	c := http.NewResponseController(w)
 	if e := c.SetReadDeadline(time.Now().Add(s.bodyTimeout)); e != nil {
 		return nil, e
 	}
-	b, e := io.ReadAll(http.MaxBytesReader(w, q.Body, int64(s.bodyLimit())))
+	b, e := plainhttp.ReadBody(q.Body, q.ContentLength, s.bodies.LargestRequest(s.bodyLimit()), operator.LargeBody, func(n lavenderridge.ByteCount) error {
+		if e := a.ReserveRequest(q.Context(), n); e != nil {
+			return errors.Join(errBodyMemory, e)
+		}
+		return nil
+	})
 	if e != nil {
 		return nil, e
 	}
 	return b, c.SetReadDeadline(time.Time{})
 }
 
+// refuseUnread writes the refusal f of a request whose body has not been read whole. It
+// then discards the rest, because the caller might not see the refusal if the connection
+// were closed with unread bytes.
+func (s *Server) refuseUnread(w http.ResponseWriter, q *http.Request, d lavenderridge.RequestID, f *lavenderridge.Refusal) {
+	s.writeRefusal(w, d, f)
+	// With Expect, the caller sends no body before it is asked for it.
+	if s.stopping.Load() || q.Header.Get("Expect") != "" {
+		return
+	}
+	c := http.NewResponseController(w)
+	if e := errors.Join(c.Flush(), c.SetReadDeadline(time.Now().Add(discardTimeout))); e != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, int64(s.bodyLimit())))
+}
+
 // bodyLimit returns the lower one of the server's own limit and that of
 // WithLimits, where zero means no limit.
 func (s *Server) bodyLimit() lavenderridge.ByteCount {
@@ -131,26 +165,28 @@
 }
 
 // bodyRefusal returns the refusal for the error e of readBody: TooLarge if the
-// body exceeds the limit, and BadRequest if it did not arrive completely.
+// body exceeds the limit, Overloaded if there was no memory for it, and BadRequest if it
+// did not arrive completely.
 func bodyRefusal(e error) *lavenderridge.Refusal {
-	var m *http.MaxBytesError
-	r := lavenderridge.ReasonBadRequest
-	if errors.As(e, &m) {
-		r = lavenderridge.ReasonTooLarge
-	}
-	return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, r, e.Error())
+	f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, e.Error())
+	switch {
+	case errors.Is(e, plainhttp.ErrBodyTooLarge):
+		f.Reason = lavenderridge.ReasonTooLarge
+	case errors.Is(e, errBodyMemory):
+		f.Reason, f.RetryAfter = lavenderridge.ReasonOverloaded, bodyMemoryRetryAfter
+	}
+	return f
 }
 
-// newRequest returns the request that arrived as q with the body b at the time
-// t. It returns the request also with an error, for its ID.
-func (s *Server) newRequest(q *http.Request, b []byte, t time.Time) (*lavenderridge.Request, error) {
+// newRequest returns the request that arrived as q at the time t, without its body. It
+// returns the request also with an error, for its ID.
+func (s *Server) newRequest(q *http.Request, t time.Time) (*lavenderridge.Request, error) {
 	r := &lavenderridge.Request{
 		Caller: s.callerService(),
 		Method: q.Method,
 		Host:   q.Host,
 		Path:   q.URL.RequestURI(),
 		Header: withoutHopByHop(q.Header),
-		Body:   b,
 	}
 	return r, s.protocol.ReadRequest(r, t)
 }
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
 // callURL has a placeholder as its host, because each connection leads to exactly
@@ -43,11 +44,19 @@
 
 // Handle implements lavenderridge.Handler.
 func (l *link) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
-	var w wireResponse
-	if e := l.callWithHeard(c, kindHandle, newWireRequest(r, time.Now()), &w, encodeHeard(r.Heard)); e != nil {
+	w, f := newWireRequest(r, time.Now()), &frame{heard: encodeHeard(r.Heard)}
+	if lavenderridge.ByteCount(len(r.Body)) >= minFramedBody {
+		f.body, w.Body = r.Body, nil
+	}
+	var v wireResponse
+	b, e := l.callFramed(c, kindHandle, w, &v, f)
+	if e != nil {
 		return nil, e
 	}
-	return w.response(l.instance), nil
+	if len(b) > 0 {
+		v.Body = b
+	}
+	return v.response(l.instance), nil
 }
 
 // Exchange implements lavenderridge.Peer.
@@ -83,37 +92,42 @@
 // failed call is NotRun if the peer can't have read the whole message, and
 // Unknown otherwise.
 func (l *link) call(c context.Context, k kind, q, v any) error {
-	return l.callWithHeard(c, k, q, v, "")
+	_, e := l.callFramed(c, k, q, v, &frame{})
+	return e
 }
 
-// callWithHeard is like call, with the text h of the field heardField.
-func (l *link) callWithHeard(c context.Context, k kind, q, v any, h string) error {
+// callFramed is like call, with what f has beside the message. It returns the body that
+// follows the reply.
+func (l *link) callFramed(c context.Context, k kind, q, v any, f *frame) ([]byte, error) {
 	b, e := encode(byte(k), q)
 	if e != nil {
-		return l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e)
+		return nil, l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e)
 	}
+	f.message = b
 	l.beginCall()
 	defer l.endCall()
-	p, o, e := l.send(c, b, h)
+	p, o, e := l.send(c, k, f)
 	switch {
 	case e == nil:
+	case errors.Is(e, errResponseMemory):
+		return nil, l.refusal(lavenderridge.OutcomeUnknown, contextReason(c, lavenderridge.ReasonTooLarge), e)
 	case o:
-		return l.refusal(lavenderridge.OutcomeUnknown, contextReason(c, lavenderridge.ReasonConnectionLost), e)
+		return nil, l.refusal(lavenderridge.OutcomeUnknown, contextReason(c, lavenderridge.ReasonConnectionLost), e)
 	default:
-		return l.refusal(lavenderridge.OutcomeNotRun, contextReason(c, lavenderridge.ReasonUnreachable), e)
+		return nil, l.refusal(lavenderridge.OutcomeNotRun, contextReason(c, lavenderridge.ReasonUnreachable), e)
 	}
-	l.transport.traffic.countCall(k, len(b), len(p))
-	return l.decodeReply(p, v)
+	l.transport.traffic.countCall(k, f.size(), p.size())
+	return p.body, l.decodeReply(p.message, v)
 }
 
-// send sends the message b with the text h of heardField and returns the reply. If that fails, the second
+// send sends the call f of kind k and returns the reply. If that fails, the second
 // result is true if the peer may have read the whole message.
-func (l *link) send(c context.Context, b []byte, h string) ([]byte, bool, error) {
+func (l *link) send(c context.Context, k kind, f *frame) (*frame, bool, error) {
 	n, e := l.connect(c)
 	if e != nil {
 		return nil, false, e
 	}
-	p, o, e := l.post(c, n, b, h)
+	p, o, e := l.post(c, n, k, f)
 	if e == nil || o || c.Err() != nil {
 		return p, o, e
 	}
@@ -123,19 +137,22 @@
 	if n, e = l.connect(c); e != nil {
 		return nil, false, e
 	}
-	return l.post(c, n, b, h)
+	return l.post(c, n, k, f)
 }
 
-// post sends the message b with the text h of heardField over the connection n. Its results are those of send.
-func (l *link) post(c context.Context, n *connection, b []byte, h string) ([]byte, bool, error) {
-	o := newRequestBody(b)
+// post sends the call f of kind k over the connection n. Its results are those of send.
+func (l *link) post(c context.Context, n *connection, k kind, f *frame) (*frame, bool, error) {
+	o := newRequestBody(f)
 	q, e := http.NewRequestWithContext(c, http.MethodPost, callURL, o)
 	if e != nil {
 		return nil, false, e
 	}
-	q.ContentLength = int64(len(b))
-	if h != "" {
-		q.Header.Set(heardField, h)
+	q.ContentLength = int64(f.size())
+	if f.heard != "" {
+		q.Header.Set(heardField, f.heard)
+	}
+	if k == kindHandle {
+		q.Header[bodyField] = bodySizeField(len(f.body))
 	}
 	p, e := n.http.RoundTrip(q)
 	if e != nil {
@@ -145,10 +162,26 @@
 	if p.StatusCode != http.StatusOK {
 		return nil, true, fmt.Errorf("peerhttp: HTTP status %d", p.StatusCode)
 	}
-	v, e := receive(p.Body, l.transport.maxMessage)
+	v, e := l.receiveReply(c, k, p)
 	return v, true, e
 }
 
+// receiveReply reads the reply p to a call of kind k. The body of a response waits until
+// there is memory for it.
+func (l *link) receiveReply(c context.Context, k kind, p *http.Response) (*frame, error) {
+	b, _, e := bodySize(p.Header, p.ContentLength)
+	if e != nil {
+		return nil, e
+	}
+	if k == kindHandle {
+		a := operator.BodyAccountOf(c)
+		if e := a.ReserveResponse(c, lavenderridge.ByteCount(p.ContentLength)); e != nil {
+			return nil, errors.Join(errResponseMemory, e)
+		}
+	}
+	return receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage)
+}
+
 func (l *link) beginCall() {
 	if l.runningCalls.Add(1) == 1 {
 		l.busySince.Store(int64(l.transport.sinceStart()))
--- a/internal/transport/peerhttp/option.go
+++ b/internal/transport/peerhttp/option.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
 // An Option configures a Transport.
@@ -26,3 +27,9 @@
 func WithMetrics(r metrics.Registry) Option {
 	return func(t *Transport) { t.registry = r }
 }
+
+// WithBodies makes the transport take the memory for the bodies of requests from other
+// daemons out of b. By default there is no bound.
+func WithBodies(b *operator.BodyBudget) Option {
+	return func(t *Transport) { t.bodies = b }
+}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/http2"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
@@ -117,7 +118,21 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	b, e := receive(q.Body, s.transport.maxMessage)
+	b, o, e := bodySize(q.Header, q.ContentLength)
+	if e != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c := q.Context()
+	if o {
+		a := s.transport.bodies.NewAccount()
+		defer a.Close()
+		if e := reserveRequest(c, a, b); e != nil {
+			writeReply(w, encodeRefusal(e))
+			return
+		}
+		c = operator.WithBodyAccount(c, a)
+	}
+	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage)
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -125,44 +140,67 @@
 	// connection that never happens, and the call must not delay the shutdown.
 	s.activity.begin()
 	defer s.activity.end()
-	c := q.Context()
 	if h := q.Header.Get(heardField); h != "" {
 		c = context.WithValue(c, heardKey{}, h)
 	}
-	p, n, e := s.handleMessage(c, b, i)
+	p, n, e := s.handleMessage(c, f, o, i)
 	defer func() { s.onSent(n) }()
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
+	writeReply(w, p)
+}
+
+// writeReply writes the reply f. That fails only if the calling daemon no longer waits
+// for it.
+func writeReply(w http.ResponseWriter, f *frame) {
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
-	w.Header().Set("Content-Length", strconv.Itoa(len(p)))
-	// The write fails only if the calling daemon no longer waits for the reply.
-	_, _ = w.Write(p)
+	w.Header().Set("Content-Length", strconv.Itoa(f.size()))
+	if len(f.body) > 0 {
+		w.Header().Set(bodyField, strconv.Itoa(len(f.body)))
+	}
+	if _, e := w.Write(f.message); e != nil {
+		return
+	}
+	_, _ = w.Write(f.body)
 }
 
-// handleMessage runs the call in the message b from the daemon i. It returns the
-// encoded reply and the size of the response body in it.
-func (s *Server) handleMessage(c context.Context, b []byte, i peertls.Identity) ([]byte, lavenderridge.ByteCount, error) {
-	v, e := s.dispatch(c, kind(b[0]), b[1:], i)
+// handleMessage runs the call f from the daemon i. It returns the encoded reply and the
+// size of the response body in it. A large body follows the reply if o is set.
+func (s *Server) handleMessage(c context.Context, f *frame, o bool, i peertls.Identity) (*frame, lavenderridge.ByteCount, error) {
+	v, e := s.dispatch(c, f, i)
 	if e != nil {
-		p, e := encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
-		return p, 0, e
+		return encodeRefusal(e), 0, nil
 	}
 	var n lavenderridge.ByteCount
-	if w, o := v.(*wireResponse); o {
+	p := &frame{}
+	if w, k := v.(*wireResponse); k {
 		n = lavenderridge.ByteCount(len(w.Body))
+		if o && n >= minFramedBody {
+			p.body, w.Body = w.Body, nil
+		}
 	}
-	p, e := encode(byte(statusReply), v)
+	p.message, e = encode(byte(statusReply), v)
 	return p, n, e
 }
 
-// dispatch decodes the arguments b of a call of kind k, runs it and returns the
-// value to encode as its reply.
-func (s *Server) dispatch(c context.Context, k kind, b []byte, i peertls.Identity) (any, error) {
+// encodeRefusal returns the reply with the refusal e.
+func encodeRefusal(e error) *frame {
+	b, x := encode(byte(statusRefusal), &wireRefusal{Refusal: *lavenderridge.AsRefusal(e)})
+	if x != nil {
+		panic(x)
+	}
+	return &frame{message: b}
+}
+
+// dispatch decodes the arguments of the call f, runs it and returns the value to encode
+// as its reply.
+func (s *Server) dispatch(c context.Context, f *frame, i peertls.Identity) (any, error) {
+	k, b := kind(f.message[0]), f.message[1:]
 	switch k {
 	case kindHandle:
-		return s.handleRequest(c, b, i)
+		return s.handleRequest(c, b, f.body, i)
 	case kindExchange:
 		return callPeer(c, b, i, s.peer.Exchange, func(q *lavenderridge.Exchange) *lavenderridge.Sender { return &q.Sender })
 	case kindPull:
@@ -176,17 +214,22 @@
 	}
 }
 
-func (s *Server) handleRequest(c context.Context, b []byte, i peertls.Identity) (any, error) {
+// handleRequest runs the request in b from the daemon i. Its body is d, unless that is
+// empty.
+func (s *Server) handleRequest(c context.Context, b, d []byte, i peertls.Identity) (any, error) {
 	var w wireRequest
 	if e := decode(b, &w); e != nil {
 		return nil, newNotRun(e.Error())
 	}
+	if len(d) > 0 {
+		w.Body = d
+	}
 	r := w.request(lavenderridge.Sender{Instance: i.Instance, DataCentre: i.DataCentre}, time.Now())
 	r.Heard = heard(c)
 	if !r.Deadline.IsZero() {
-		d, f := context.WithDeadline(c, r.Deadline)
+		x, f := context.WithDeadline(c, r.Deadline)
 		defer f()
-		c = d
+		c = x
 	}
 	p, e := s.peer.Handle(c, r)
 	if e != nil {
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
@@ -41,6 +43,10 @@
 	// is closed. It is longer than most link outages and well below the stop
 	// timeouts.
 	writeTimeout = 2 * time.Second
+	// The windows bound what a connection and a call buffer of responses that this
+	// daemon has not read yet. A call's is enough for most responses.
+	connectionWindow = 2 * lavenderridge.Mebibyte
+	streamWindow     = 512 * lavenderridge.Kibibyte
 	// maxDials bounds the concurrent dials when many daemons restart together.
 	maxDials = 64
 	// maxStreams bounds the concurrent calls of one daemon to another. It is far
@@ -58,6 +64,7 @@
 	http       *http2.Transport
 	keys       *peertls.Keys
 	maxMessage lavenderridge.ByteCount
+	bodies     *operator.BodyBudget
 	probeDelay time.Duration
 	registry   metrics.Registry
 	counters   counters
@@ -80,9 +87,12 @@
 	if e != nil {
 		return nil, fmt.Errorf("peerhttp: %w", e)
 	}
+	h, e := newHTTPTransport()
+	if e != nil {
+		return nil, errors.Join(e, l.Close())
+	}
 	t := &Transport{
-		http:       &http2.Transport{DisableCompression: true, IdleConnTimeout: idleTimeout, WriteByteTimeout: writeTimeout, MaxHeaderListSize: plainhttp.MaxResponseHead},
-		keys:       k,
+		http: h, keys: k, bodies: operator.NewBodyBudget(0),
 		maxMessage: defaultMaxMessage, probeDelay: defaultProbeDelay, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
@@ -96,6 +106,19 @@
 	return t, nil
 }
 
+// newHTTPTransport returns the HTTP/2 client. Responses that wait for memory are held
+// back at the daemon that sends them, because the client buffers only a window of each.
+func newHTTPTransport() (*http2.Transport, error) {
+	h, e := http2.ConfigureTransports(&http.Transport{HTTP2: &http.HTTP2Config{
+		MaxReceiveBufferPerConnection: int(connectionWindow), MaxReceiveBufferPerStream: int(streamWindow),
+	}})
+	if e != nil {
+		return nil, fmt.Errorf("peerhttp: %w", e)
+	}
+	h.DisableCompression, h.IdleConnTimeout, h.WriteByteTimeout, h.MaxHeaderListSize = true, idleTimeout, writeTimeout, plainhttp.MaxResponseHead
+	return h, nil
+}
+
 // Address returns the address on which the transport listens.
 func (t *Transport) Address() lavenderridge.Address {
 	return lavenderridge.Address(t.listener.Addr().String())
