Choose readers of the source among instances of known services only

Cause: the two readers of a data centre were those of all listed instances that rank first by hash. No daemon runs beside such entries, so nobody watched the source, and the others read it only after 6 s without any contact.

Instances of services that the accepted catalogue doesn't have are left out of the ranking, unless that leaves nobody.

--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -105,7 +105,7 @@
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0
 	if l := f.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
-		s.IsReader = slices.Contains(configservice.Readers(l, f.dataCentre), f.instance)
+		s.IsReader = slices.Contains(configservice.Readers(l, f.store.Catalogue(), f.dataCentre), f.instance)
 	}
 	return s
 }
--- a/internal/daemon/configservice/follower_test.go
+++ b/internal/daemon/configservice/follower_test.go
@@ -94,7 +94,7 @@
 	for i := range n {
 		l.Instances = append(l.Instances, lavenderridge.Instance{ID: instanceID(i), DataCentre: "kyu-a", State: lavenderridge.InstanceLive})
 	}
-	return policy.Readers(l, "kyu-a")[0]
+	return policy.Readers(l, nil, "kyu-a")[0]
 }
 
 // TestFollowerAppliesChanges checks that a listing of several pages opens the gate, and
@@ -132,7 +132,7 @@
 	for i := range 7 {
 		l.Instances = append(l.Instances, lavenderridge.Instance{ID: instanceID(i), DataCentre: "kyu-a", State: lavenderridge.InstanceLive})
 	}
-	r := policy.Readers(l, "kyu-a")
+	r := policy.Readers(l, nil, "kyu-a")
 	for i := range 7 {
 		if !slices.Contains(r, instanceID(i)) {
 			n = instanceID(i)
--- a/internal/daemon/configservice/reader.go
+++ b/internal/daemon/configservice/reader.go
@@ -141,7 +141,7 @@
 	}
 	if l := r.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
-		s.IsReader = s.IsReader || slices.Contains(configservice.Readers(l, r.dataCentre), r.instance)
+		s.IsReader = s.IsReader || slices.Contains(configservice.Readers(l, r.store.Catalogue(), r.dataCentre), r.instance)
 	}
 	return s
 }
--- a/internal/policy/configservice/readers.go
+++ b/internal/policy/configservice/readers.go
@@ -12,17 +12,33 @@
 // the source.
 const readersPerDataCentre = 2
 
-// Readers returns the instances of the data centre d that watch the source:
-// the live ones with the highest hashes of their IDs (rendezvous hashing).
-// Daemons with different lists may select different readers, which only causes
-// additional calls.
-func Readers(l *lavenderridge.InstanceList, d lavenderridge.DataCentreID) []lavenderridge.InstanceID {
-	var a []lavenderridge.InstanceID
+// Readers returns the instances of the data centre d that watch the source: those that
+// rank first. The catalogue c is the accepted one or nil.
+func Readers(l *lavenderridge.InstanceList, c *lavenderridge.Catalogue, d lavenderridge.DataCentreID) []lavenderridge.InstanceID {
+	a := rankReaders(l, c, d)
+	return a[:min(len(a), readersPerDataCentre)]
+}
+
+// rankReaders returns the live instances of the data centre d, in the order of the
+// hashes of their IDs (rendezvous hashing). Daemons with different lists may rank
+// differently, which only causes additional calls. Instances of a service that the
+// catalogue c doesn't have are left out: another writer may have listed them, and then no
+// daemon runs beside them. If that leaves nobody, all count.
+func rankReaders(l *lavenderridge.InstanceList, c *lavenderridge.Catalogue, d lavenderridge.DataCentreID) []lavenderridge.InstanceID {
+	var a, k []lavenderridge.InstanceID
 	for i := range l.Instances {
-		if n := &l.Instances[i]; n.DataCentre == d && n.State == lavenderridge.InstanceLive {
-			a = append(a, n.ID)
+		n := &l.Instances[i]
+		if n.DataCentre != d || n.State != lavenderridge.InstanceLive {
+			continue
+		}
+		a = append(a, n.ID)
+		if c != nil && hasService(c, n.Service) {
+			k = append(k, n.ID)
 		}
 	}
+	if len(k) > 0 {
+		a = k
+	}
 	slices.SortFunc(a, func(x, y lavenderridge.InstanceID) int {
 		p, q := xxhash.Sum64String(string(x)), xxhash.Sum64String(string(y))
 		if p == q {
@@ -33,5 +49,9 @@
 		}
 		return 1
 	})
-	return a[:min(len(a), readersPerDataCentre)]
+	return a
+}
+
+func hasService(c *lavenderridge.Catalogue, s lavenderridge.ServiceID) bool {
+	return slices.ContainsFunc(c.Services, func(v lavenderridge.Service) bool { return v.ID == s })
 }
--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -89,6 +89,14 @@
 	return s.instanceList.value
 }
 
+// Catalogue returns the accepted catalogue, or nil.
+func (s *Store) Catalogue() *lavenderridge.Catalogue {
+	if n := s.Snapshot(); n != nil {
+		return n.Catalogue
+	}
+	return nil
+}
+
 // OfferCatalogue accepts or rejects the catalogue c. The error is of type
 // Findings when c is rejected because it is invalid.
 func (s *Store) OfferCatalogue(o Offer, c *lavenderridge.Catalogue) (OfferResult, error) {
--- a/internal/transport/callerhttp/body_test.go
+++ b/internal/transport/callerhttp/body_test.go
@@ -30,6 +30,7 @@
 
 // send sends a body of n bytes, with its length unless it is sent in chunks.
 func send(t *testing.T, a net.Addr, path string, n int, chunked bool) string {
+	t.Helper()
 	var b io.Reader = bytes.NewReader(make([]byte, n))
 	if chunked {
 		b = io.MultiReader(b)
