Let a reader that the source refuses ask another daemon to read in its place

Cause: a reader that the store refuses stayed the reader, and the others read only once nobody had had any contact for 6 s. The reader knew at once that it was refused, and told nobody: again a message that only the one who heard it uses, though all act on it.

A reader whose call fails now asks a daemon of its data centre that is no reader to read for 3 s, in an exchange. If that brings the fleet no contact within a second, the next one in rank is asked; once nobody has had contact for 3 s, the source counts as down and nobody is asked, so that a whole outage costs few more calls. Daemons of earlier versions ignore the request, which travels in a header field.

What it doesn't do: a reader that the store leaves without an answer finds out at the end of its watch only, up to 2.7 s later. That is longer than the 2 s in which a change must be in force, if all readers are left so.

--- a/exchange.go
+++ b/exchange.go
@@ -17,4 +17,7 @@
 	// a daemon whose contact was reported to the sender; zero means that the
 	// sender knows of no such response.
 	SourceAge time.Duration
+	// ReadFor is for how long the sender asks the receiver to read the source in its
+	// place, because the source refuses the sender; zero means that it doesn't.
+	ReadFor time.Duration
 }
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -28,10 +28,12 @@
 	contact       *configpolicy.SourceContact
 	neighbourhood *peerpolicy.Neighbourhood
 	reader        runner // reads the source
-	gossiper      *peer.Gossiper
-	exchanger     peer.Exchanger
-	clock         lavenderridge.Clock
-	sourceOnly    bool
+	// follower is the reader of a platform's facts, or nil.
+	follower   *configservice.Follower
+	gossiper   *peer.Gossiper
+	exchanger  peer.Exchanger
+	clock      lavenderridge.Clock
+	sourceOnly bool
 }
 
 var _ lavenderridge.Readiness = (*configPart)(nil)
@@ -63,7 +65,9 @@
 			return nil, e
 		}
 		d.closeLater(s.Close)
-		return configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.metrics), nil
+		p.follower = configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.metrics,
+			configservice.WithSubstitutes(p.gossiper.AskToRead))
+		return p.follower, nil
 	}
 	s, e := confighttp.NewClient(c, d.config.ConfigService)
 	if e != nil {
@@ -83,6 +87,11 @@
 		peer.WithCounters(d.metrics),
 		peer.WithLeaving(func() bool { return d.owner.leaving() }),
 		peer.WithSuspects(deferredSuspects{daemon: d}),
+		peer.WithReadRequests(func(t time.Duration) {
+			if p.follower != nil {
+				p.follower.ReadFor(t)
+			}
+		}),
 	)
 }
 
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,8 +24,8 @@
 
 // A Follower copies the facts of a FactSource and offers the documents that it
 // builds from them. It lists the facts once. Afterwards it watches them while the
-// daemon is one of the readers of its data centre, and reads them occasionally
-// when it lacks a document, receives no messages from neighbours, or no daemon is
+// daemon is one of the readers of its data centre or was asked to read in place of one,
+// and reads them occasionally when it lacks a document, receives no messages from neighbours, or no daemon is
 // known to have recent contact with the source.
 type Follower struct {
 	source    lavenderridge.FactSource
@@ -45,16 +46,42 @@
 	// last message from a neighbour until there is a later one.
 	started    time.Time
 	sourceLost bool
+
+	// ask asks the instance n to read the source for the time d.
+	ask          func(c context.Context, n lavenderridge.InstanceID, d time.Duration) error
+	substitution configservice.Substitution
+	// readUntil is when the daemon stops reading in place of a reader, in nanoseconds
+	// since the Unix epoch.
+	readUntil atomic.Int64
+}
+
+// WithSubstitutes makes a follower that is a reader and that the source refuses ask
+// other daemons with f to read in its place.
+func WithSubstitutes(f func(c context.Context, n lavenderridge.InstanceID, d time.Duration) error) func(*Follower) {
+	return func(v *Follower) { v.ask = f }
 }
 
 // NewFollower returns a follower of the source s for the daemon of the instance n
 // in the data centre d. The function h returns the time of the last message from
 // a neighbour. Facts that cannot be used are counted in the registry r.
-func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, r metrics.Registry) *Follower {
-	return &Follower{
+func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, r metrics.Registry, o ...func(*Follower)) *Follower {
+	f := &Follower{
 		source: s, mirror: configservice.NewMirror(), store: t, acceptor: a, gate: g, contact: p, clock: k, log: l,
 		instance: n, dataCentre: d, lastPeerMessage: h,
 		rejected: metrics.NewRegisteredCounter("SourceFactsRejected", r),
+		ask:      func(context.Context, lavenderridge.InstanceID, time.Duration) error { return nil },
+	}
+	for _, v := range o {
+		v(f)
+	}
+	return f
+}
+
+// ReadFor makes the daemon read the source for the time d, as a reader does. It does not
+// block.
+func (f *Follower) ReadFor(d time.Duration) {
+	t := f.clock.Now().Add(min(d, configservice.SubstitutePeriod)).UnixNano()
+	for v := f.readUntil.Load(); v < t && !f.readUntil.CompareAndSwap(v, t); v = f.readUntil.Load() {
 	}
 }
 
@@ -75,6 +102,7 @@
 		if e := f.readSource(c, f.watchWait(p.Wait)); e != nil {
 			n++
 			f.onFailure(c, e)
+			f.askSubstitute(c, n)
 			continue
 		}
 		n = 0
@@ -105,11 +133,34 @@
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0
 	if l := f.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
-		s.IsReader = slices.Contains(configservice.Readers(l, f.store.Catalogue(), f.dataCentre), f.instance)
+		s.IsReader = f.isReader(l) || t.UnixNano() < f.readUntil.Load()
 	}
 	return s
 }
 
+// isReader reports whether the daemon is a reader according to the list l.
+func (f *Follower) isReader(l *lavenderridge.InstanceList) bool {
+	return slices.Contains(configservice.Readers(l, f.store.Catalogue(), f.dataCentre), f.instance)
+}
+
+// askSubstitute asks another daemon to read the source after n failures in a row, if this
+// one is a reader.
+func (f *Follower) askSubstitute(c context.Context, n int) {
+	l := f.store.InstanceList()
+	if l == nil || !f.isReader(l) {
+		return
+	}
+	d := f.substitution.Next(l, f.store.Catalogue(), f.dataCentre, f.instance, n, f.contact.Age(f.clock.Now()))
+	if d == "" {
+		return
+	}
+	if e := f.ask(c, d, configservice.SubstitutePeriod); e != nil {
+		f.log.Warn("SubstituteNotAsked", zap.String("Instance", string(d)), zap.Error(e))
+		return
+	}
+	f.log.Info("SubstituteAsked", zap.String("Instance", string(d)), zap.Int("Failures", n))
+}
+
 // readSource makes one complete listing or one watch that waits for w, and offers
 // the documents that result.
 func (f *Follower) readSource(c context.Context, w time.Duration) error {
--- a/internal/daemon/configservice/follower_test.go
+++ b/internal/daemon/configservice/follower_test.go
@@ -30,11 +30,12 @@
 	store           *policy.Store
 	gate            *policy.ReadinessGate
 	lastPeerMessage func() time.Time
+	follower        *configservice.Follower
 }
 
 // start runs a follower for the instance n until the test ends. The function h
 // returns the time of the last message from a neighbour.
-func start(t *testing.T, n lavenderridge.InstanceID, h func() time.Time) *testFollower {
+func start(t *testing.T, n lavenderridge.InstanceID, h func() time.Time, o ...func(*configservice.Follower)) *testFollower {
 	t.Helper()
 	k := assembly.SystemClock{}
 	f := &testFollower{source: factsource.NewSource(), store: policy.NewStore(canonicalcbor.NewCodec()), gate: policy.NewReadinessGate(k.Now()), lastPeerMessage: h}
@@ -43,7 +44,8 @@
 		f.putInstance(i)
 	}
 	a := configservice.NewAcceptor(f.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, metrics.NewRegistry())
+	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, metrics.NewRegistry(), o...)
+	f.follower = v
 	c, x := context.WithCancel(t.Context())
 	d := make(chan error, 1)
 	go func() { d <- v.Run(c) }()
@@ -123,6 +125,59 @@
 	eventually(t, 4*time.Second, "lapsed instance", func() bool { return f.hasVersion(4, 6) })
 }
 
+// otherInstances returns the instances of the data centre that aren't readers.
+func otherInstances(n int) []lavenderridge.InstanceID {
+	l := &lavenderridge.InstanceList{}
+	var a []lavenderridge.InstanceID
+	for i := range n {
+		a = append(a, instanceID(i))
+		l.Instances = append(l.Instances, lavenderridge.Instance{ID: instanceID(i), DataCentre: "kyu-a", State: lavenderridge.InstanceLive})
+	}
+	r := policy.Readers(l, nil, "kyu-a")
+	return slices.DeleteFunc(a, func(d lavenderridge.InstanceID) bool { return slices.Contains(r, d) })
+}
+
+// TestRefusedReaderAsksForSubstitutes guards against versions that reach nobody while the
+// source refuses its readers and serves the others.
+func TestRefusedReaderAsksForSubstitutes(t *testing.T) {
+	asked := make(chan lavenderridge.InstanceID, 100)
+	f := start(t, reader(7), never, configservice.WithSubstitutes(func(_ context.Context, n lavenderridge.InstanceID, _ time.Duration) error {
+		asked <- n
+		return nil
+	}))
+	g := start(t, otherInstances(7)[0], time.Now)
+	eventually(t, time.Second, "listing", func() bool { return f.hasVersion(1, 7) && g.hasVersion(1, 7) })
+	f.source.SetDown(true)
+	f.source.DropHistory() // ends the watch
+	select {
+	case n := <-asked:
+		if !slices.Contains(otherInstances(7), n) {
+			t.Errorf("asked %s, which is a reader", n)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("nobody was asked within 1s")
+	}
+	// A substitute reads for a time only.
+	c := g.source.Calls()
+	g.putCatalogue(2)
+	g.follower.ReadFor(time.Hour)
+	eventually(t, time.Second, "change read by a substitute", func() bool { return g.hasVersion(2, 7) })
+	time.Sleep(policy.SubstitutePeriod + 2500*time.Millisecond)
+	n := g.source.Calls()
+	time.Sleep(time.Second)
+	if d := g.source.Calls() - n; d > 0 || n-c > 6 {
+		t.Errorf("%d calls in place of a reader, and %d after that; want at most 6, and none", n-c, d)
+	}
+	// While nobody has contact with the source, nobody else is asked.
+	for len(asked) > 0 {
+		<-asked
+	}
+	time.Sleep(2 * time.Second)
+	if n := len(asked); n > 0 {
+		t.Errorf("%d daemons were asked although the source serves nobody", n)
+	}
+}
+
 // TestFollowerSkipsSource checks that a daemon that is not a reader makes
 // no call while it receives messages from neighbours, and reads the source if it
 // receives none.
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,7 @@
 	CounterLeaving     = "Control.Leaving"
 	CounterPullDelta   = "Control.PullDelta"
 	CounterPullWhole   = "Control.PullWhole"
+	CounterReadRequest = "Control.ReadRequest"
 )
 
 // A Gossiper disseminates versions of the configuration by gossip: it announces each
@@ -59,6 +61,7 @@
 	clock         lavenderridge.Clock
 	log           *zap.Logger
 	leaving       func() bool
+	onReadRequest func(time.Duration)
 	address       lavenderridge.Address
 	suspects      lavenderridge.SuspectStore
 	recorder      lavenderridge.Recorder
@@ -78,7 +81,7 @@
 func NewGossiper(f func() lavenderridge.Sender, s *configservice.Store, a *daemonconfig.Acceptor, g *configservice.ReadinessGate, t *configservice.SourceContact, h *peer.Neighbourhood, d lavenderridge.PeerDialer, k lavenderridge.Clock, o ...func(*Gossiper)) *Gossiper {
 	p := &Gossiper{
 		self: f, store: s, acceptor: a, gate: g, sourceContact: t, neighbourhood: h, dialer: d, clock: k,
-		log: zap.NewNop(), leaving: func() bool { return false }, counters: metrics.NewRegistry(),
+		log: zap.NewNop(), leaving: func() bool { return false }, onReadRequest: func(time.Duration) {}, counters: metrics.NewRegistry(),
 		pullers:     []*puller{newPuller(lavenderridge.DocumentCatalogue), newPuller(lavenderridge.DocumentInstanceList)},
 		pullLimiter: peer.NewPullLimiter(),
 	}
@@ -99,6 +102,12 @@
 	return func(s *Gossiper) { s.leaving = f }
 }
 
+// WithReadRequests makes a gossiper call f when another daemon asks this one to read the
+// source for a time. The function f must not block.
+func WithReadRequests(f func(time.Duration)) func(*Gossiper) {
+	return func(s *Gossiper) { s.onReadRequest = f }
+}
+
 // WithAddress makes a gossiper send a as the address at which the daemon accepts
 // connections from other daemons.
 func WithAddress(a lavenderridge.Address) func(*Gossiper) {
@@ -121,7 +130,7 @@
 func WithCounters(r metrics.Registry) func(*Gossiper) {
 	return func(s *Gossiper) {
 		s.counters = r
-		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterPullDelta, CounterPullWhole} {
+		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
 			metrics.GetOrRegisterCounter(n, r)
 		}
 	}
@@ -159,6 +168,9 @@
 // Exchange implements Exchanger.
 func (s *Gossiper) Exchange(_ context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	s.merge(q, true)
+	if q.ReadFor > 0 {
+		s.onReadRequest(q.ReadFor)
+	}
 	return s.newExchange(), nil
 }
 
@@ -273,12 +285,29 @@
 // counter n names the cause. The reply opens the gate, except in the first epoch, in
 // which openAtStart does so once it has queried the neighbours.
 func (s *Gossiper) exchangeWith(c context.Context, v *lavenderridge.Instance, n string) (*lavenderridge.Exchange, error) {
+	return s.sendExchange(c, v, n, s.newExchange())
+}
+
+// AskToRead asks the instance n to read the source for the time d.
+func (s *Gossiper) AskToRead(c context.Context, n lavenderridge.InstanceID, d time.Duration) error {
+	v := s.neighbourhood.Instance(n)
+	if v == nil {
+		return fmt.Errorf("peer: ask %s to read: not listed", n)
+	}
+	q := s.newExchange()
+	q.ReadFor = d
+	_, e := s.sendExchange(c, v, CounterReadRequest, q)
+	return e
+}
+
+// sendExchange sends the exchange x as exchangeWith does.
+func (s *Gossiper) sendExchange(c context.Context, v *lavenderridge.Instance, n string, x *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	p := c
 	c, f := context.WithTimeout(c, exchangeTimeout)
 	defer f()
 	s.count(n)
 	b := s.gate.Epoch()
-	q, e := s.dialer.Dial(v).Exchange(c, s.newExchange())
+	q, e := s.dialer.Dial(v).Exchange(c, x)
 	if e != nil {
 		if p.Err() == nil {
 			s.neighbourhood.Failed(v.ID)
--- a/internal/transport/peerhttp/body_test.go
+++ b/internal/transport/peerhttp/body_test.go
@@ -109,6 +109,30 @@
 	}
 }
 
+// exchangePeer remembers for how long it was asked to read.
+type exchangePeer struct {
+	lavenderridge.Peer
+	readFor time.Duration
+}
+
+func (p *exchangePeer) Exchange(_ context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
+	p.readFor = q.ReadFor
+	return &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "b", DataCentre: "dc"}}, nil
+}
+
+// TestReadRequestTravels guards against a request to read the source that is lost, since
+// it travels beside the message of an exchange.
+func TestReadRequestTravels(t *testing.T) {
+	p := &exchangePeer{}
+	l := newBodyPair(t, 0, p)
+	for _, d := range []time.Duration{0, 3 * time.Second} {
+		q := &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "a", DataCentre: "dc"}, ReadFor: d}
+		if _, e := l.Exchange(t.Context(), q); e != nil || p.readFor != d {
+			t.Errorf("asked to read for %s, error %v; want %s", p.readFor, e, d)
+		}
+	}
+}
+
 // BenchmarkBody reports what one call with a body allocates, client and server together.
 func BenchmarkBody(b *testing.B) {
 	for _, n := range []lavenderridge.ByteCount{lavenderridge.Kibibyte, 64 * lavenderridge.Kibibyte, lavenderridge.Mebibyte, 8 * lavenderridge.Mebibyte, 64 * lavenderridge.Mebibyte} {
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -17,6 +17,9 @@
 	// in bytes. In a request, it also says that the sender understands such a reply.
 	// Daemons of earlier versions neither send nor read it.
 	bodyField = "Lavenderridge-Body"
+	// readField is the header field with the time for which the sender of an exchange asks
+	// the receiver to read the source. Daemons of earlier versions ignore it.
+	readField = "Lavenderridge-Read-For"
 	// minFramedBody is the size from which a body follows its message. A smaller one is
 	// a part of it, which copies the body, but earlier versions understand.
 	minFramedBody = 64 * lavenderridge.Kibibyte
@@ -35,6 +38,8 @@
 	message, body []byte
 	// heard is the text of heardField.
 	heard string
+	// readFor is the time in readField.
+	readFor time.Duration
 }
 
 // size returns the size in bytes on the wire.
@@ -53,6 +58,20 @@
 	return []string{strconv.Itoa(n)}
 }
 
+// readForKey is the context key of the text of readField in a call.
+type readForKey struct{}
+
+// readFor returns the time for which the sender of the call of the context c asks this
+// daemon to read the source, or zero.
+func readFor(c context.Context) time.Duration {
+	s, _ := c.Value(readForKey{}).(string)
+	d, e := time.ParseDuration(s)
+	if e != nil {
+		return 0
+	}
+	return max(d, 0)
+}
+
 // bodySize returns the size of the body that follows the message, by the header h of a
 // message of n bytes in all. It reports false if the header has no such size.
 func bodySize(h http.Header, n int64) (int64, bool, error) {
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -61,7 +61,11 @@
 
 // Exchange implements lavenderridge.Peer.
 func (l *link) Exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
-	return roundTrip[lavenderridge.Exchange](c, l, kindExchange, q)
+	var v lavenderridge.Exchange
+	if _, e := l.callFramed(c, kindExchange, q, &v, &frame{readFor: q.ReadFor}); e != nil {
+		return nil, e
+	}
+	return &v, nil
 }
 
 // Pull implements lavenderridge.Peer.
@@ -151,6 +155,9 @@
 	if f.heard != "" {
 		q.Header.Set(heardField, f.heard)
 	}
+	if f.readFor > 0 {
+		q.Header.Set(readField, f.readFor.String())
+	}
 	if k == kindHandle {
 		q.Header[bodyField] = bodySizeField(len(f.body))
 	}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -143,6 +143,9 @@
 	if h := q.Header.Get(heardField); h != "" {
 		c = context.WithValue(c, heardKey{}, h)
 	}
+	if h := q.Header.Get(readField); h != "" {
+		c = context.WithValue(c, readForKey{}, h)
+	}
 	p, n, e := s.handleMessage(c, f, o, i)
 	defer func() { s.onSent(n) }()
 	if e != nil {
@@ -202,7 +205,7 @@
 	case kindHandle:
 		return s.handleRequest(c, b, f.body, i)
 	case kindExchange:
-		return callPeer(c, b, i, s.peer.Exchange, func(q *lavenderridge.Exchange) *lavenderridge.Sender { return &q.Sender })
+		return callPeer(c, b, i, s.exchange, func(q *lavenderridge.Exchange) *lavenderridge.Sender { return &q.Sender })
 	case kindPull:
 		return callPeer(c, b, i, s.peer.Pull, func(q *lavenderridge.PullRequest) *lavenderridge.Sender { return &q.Sender })
 	case kindActivate:
@@ -238,6 +241,12 @@
 	return newWireResponse(p), nil
 }
 
+// exchange passes the exchange q on with what travels beside its message.
+func (s *Server) exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
+	q.ReadFor = readFor(c)
+	return s.peer.Exchange(c, q)
+}
+
 // callPeer decodes a Q from b and passes it to f if its sender, which s returns, is
 // the daemon i.
 func callPeer[Q, V any](c context.Context, b []byte, i peertls.Identity, f func(context.Context, *Q) (*V, error), s func(*Q) *lavenderridge.Sender) (any, error) {
