Pass the request target on as the caller wrote it

A raw # and what follows it was dropped.

Cause: the path was taken from the URL that the HTTP library had parsed, and parsed and encoded once more on the way to the backend server. The library keeps the original encoding only if it would have chosen it itself.

The daemon takes the request target from the request line and hands it to the library as opaque. Only an absolute URL loses its scheme and host. A path that isn't UTF-8, which another daemon couldn't be told, and one with two slashes at its beginning and characters that must be escaped are refused with 400. Routes match the path as it was written, as before.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -10,6 +10,8 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,9 @@
 	probeTimeout               = 500 * time.Millisecond
 )
 
+// errTarget is the error for a request target that can't be sent unchanged.
+var errTarget = errors.New("backendhttp: a path with two slashes at its beginning has characters that must be escaped")
+
 // A Client sends requests to one backend server. It reserves one of its
 // connections for health checks, each of which opens a new connection.
 type Client struct {
@@ -85,7 +90,7 @@
 	defer d()
 	q, e := l.newRequest(x, r)
 	if e != nil {
-		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e.Error())
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, e.Error())
 	}
 	o := l.pool.Load()
 	if l.refused.contains(r.ID) {
@@ -194,10 +199,15 @@
 }
 
 func (l *Client) newRequest(c context.Context, r *lavenderridge.Request) (*http.Request, error) {
-	q, e := http.NewRequestWithContext(c, r.Method, "http://"+string(l.address)+r.Path, newBody(r))
+	u, e := newURL(l.address, r.Path)
+	if e != nil {
+		return nil, e
+	}
+	q, e := http.NewRequestWithContext(c, r.Method, "http://"+string(l.address), newBody(r))
 	if e != nil {
 		return nil, e
 	}
+	q.URL = u
 	q.ContentLength = int64(len(r.Body))
 	maps.Copy(q.Header, http.Header(r.Header))
 	q.Host = r.Host
@@ -209,6 +219,26 @@
 	return q, nil
 }
 
+// newURL returns the URL with which the HTTP library sends the request target t to the
+// address a unchanged.
+func newURL(a lavenderridge.Address, t string) (*url.URL, error) {
+	u := &url.URL{Scheme: "http", Host: string(a), Opaque: t}
+	if !strings.HasPrefix(t, "//") {
+		return u, nil
+	}
+	// Two slashes at the beginning of Opaque would be taken for a host.
+	var e error
+	u.Opaque = ""
+	u.RawPath, u.RawQuery, u.ForceQuery = strings.Cut(t, "?")
+	if u.Path, e = url.PathUnescape(u.RawPath); e != nil {
+		return nil, fmt.Errorf("backendhttp: %w", e)
+	}
+	if u.RequestURI() != t {
+		return nil, errTarget
+	}
+	return u, nil
+}
+
 func renameField(h http.Header, o, n string) {
 	if v, k := h[o]; k {
 		delete(h, o)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
@@ -185,12 +187,37 @@
 		Caller: s.callerService(),
 		Method: q.Method,
 		Host:   q.Host,
-		Path:   q.URL.RequestURI(),
+		Path:   requestTarget(q.RequestURI),
 		Header: withoutHopByHop(q.Header),
 	}
+	if !utf8.ValidString(r.Path) {
+		return r, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, "the path is not valid UTF-8")
+	}
 	return r, s.protocol.ReadRequest(r, t)
 }
 
+// requestTarget returns the path and the query of the request target t as the caller wrote
+// them. Only an absolute URL, which is meant for proxies, loses its scheme and host. The
+// URL that the HTTP library has parsed doesn't tell an escaped slash from a plain one if
+// it has a character that the library would escape.
+func requestTarget(t string) string {
+	if strings.HasPrefix(t, "/") {
+		return t
+	}
+	_, v, o := strings.Cut(t, "://")
+	if !o {
+		return t
+	}
+	switch i := strings.IndexAny(v, "/?"); {
+	case i < 0:
+		return "/"
+	case v[i] == '?':
+		return "/" + v[i:]
+	default:
+		return v[i:]
+	}
+}
+
 // withoutHopByHop returns a copy of h without the hop-by-hop fields and
 // Content-Length, which apply to one connection only.
 func withoutHopByHop(h http.Header) lavenderridge.Header {
