Refuse responses whose status can't be passed on

What callers saw: a backend server that answers with a status below 100 made the daemon close the caller's connection without an answer. The HTTP library reads such a status and panics when it is written (seen by the review; no sound backend server sends one).

Such a response is now refused as BadResponse, with the outcome Unknown, as one of another request is.

Evidence: TestStatusOutOfRange; before, "no error; want BadResponse, Unknown".

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -23,6 +23,7 @@
 const (
 	defaultHealthPath          = "/healthz"
 	maxHealthBody              = 64 << 10 // bytes
+	maxStatus                  = 999
 	defaultUnresponsiveTimeout = time.Second
 	probeTimeout               = 500 * time.Millisecond
 )
@@ -117,6 +118,9 @@
 	if !l.protocol.Matches(r, h) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response is for another request")
 	}
+	if p.StatusCode < http.StatusContinue || p.StatusCode > maxStatus {
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Sprintf("%d is no status", p.StatusCode))
+	}
 	n, o := l.protocol.NotRun(p.StatusCode, h)
 	if n != lavenderridge.ReasonWrongTarget {
 		l.onNotice(r, l.protocol.Notice(h))
--- a/internal/transport/backendhttp/sendonce_test.go
+++ b/internal/transport/backendhttp/sendonce_test.go
@@ -91,3 +91,16 @@
 		return w.String()
 	})
 }
+
+// TestStatusOutOfRange guards against a status that ends the connection of the caller,
+// because no server can send it on.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, n := range []string{"099", "000", "007"} {
+		s := newRawServer(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s odd\r\nContent-Length: 0\r\n\r\n", n)
+			return true
+		})
+		_, e := newClient(t, s.address(), 10).Handle(t.Context(), request(http.MethodPost, "x"))
+		checkRefusal(t, e, lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse)
+	}
+}
