Keep the fields that Connection names on their connection

They are dropped after the protocol has read its own fields, so that a caller can't take those away. In responses nothing changes: a faulty backend server could name fields that callers need.

Evidence: TestFieldsOfOneConnectionStayThere.

--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -193,7 +193,10 @@
 	if !utf8.ValidString(r.Path) {
 		return r, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, "the path is not valid UTF-8")
 	}
-	return r, s.protocol.ReadRequest(r, t)
+	e := s.protocol.ReadRequest(r, t)
+	// The protocol has taken its own fields out of the header before.
+	dropNamed(r.Header, q.Header["Connection"])
+	return r, e
 }
 
 // requestTarget returns the path and the query of the request target t as the caller wrote
@@ -228,6 +231,15 @@
 	return lavenderridge.Header(v)
 }
 
+// dropNamed removes the fields from h that the values l of Connection name.
+func dropNamed(h lavenderridge.Header, l []string) {
+	for _, v := range l {
+		for n := range strings.SplitSeq(v, ",") {
+			delete(h, http.CanonicalHeaderKey(strings.TrimSpace(n)))
+		}
+	}
+}
+
 func (s *Server) writeResponse(w http.ResponseWriter, p *lavenderridge.Response) {
 	maps.Copy(w.Header(), http.Header(withoutHopByHop(http.Header(p.Header))))
 	s.protocol.WriteResponse(lavenderridge.Header(w.Header()), p)
