--- a/internal/transport/peerhttp/body_test.go
+++ b/internal/transport/peerhttp/body_test.go
@@ -32,8 +32,9 @@
 	return &lavenderridge.Response{ID: r.ID, Attempt: r.Attempt, Status: 200, Body: bytes.Repeat([]byte{'p'}, n)}, nil
 }
 
-// newBodyPair returns the link of a client to a server with the memory m for bodies.
-func newBodyPair(t testing.TB, m lavenderridge.ByteCount, p lavenderridge.Peer) lavenderridge.Peer {
+// newBodyPair returns the link of a client to a server with the memory m for bodies, and
+// the server's transport.
+func newBodyPair(t testing.TB, m lavenderridge.ByteCount, p lavenderridge.Peer) (lavenderridge.Peer, *Transport) {
 	t.Helper()
 	a, e := peertls.NewAuthority(time.Now(), time.Hour)
 	if e != nil {
@@ -59,7 +60,7 @@
 		}
 	})
 	go func() { d <- NewServer(n[1], p, func(lavenderridge.ByteCount) {}).Serve(c) }()
-	return n[0].Dial(&lavenderridge.Instance{ID: "b", Peer: n[1].Address()})
+	return n[0].Dial(&lavenderridge.Instance{ID: "b", Peer: n[1].Address()}), n[1]
 }
 
 // TestBodiesBetweenDaemons guards against bodies that callers may send and that no other
@@ -71,7 +72,7 @@
 		d.ScanArgs(t, "request", &q)
 		d.ScanArgs(t, "response", &n)
 		p := &bodyPeer{}
-		l := newBodyPair(t, lavenderridge.ByteCount(m), p)
+		l, _ := newBodyPair(t, lavenderridge.ByteCount(m), p)
 		k := operator.NewBodyBudget(lavenderridge.ByteCount(m))
 		a := k.NewAccount()
 		defer a.Close()
@@ -109,6 +110,39 @@
 	}
 }
 
+// TestResponseWithoutMemoryIsHeldBack guards against responses that fill the memory of a
+// daemon while they wait for their part of it.
+func TestResponseWithoutMemoryIsHeldBack(t *testing.T) {
+	const size = 8 * int(lavenderridge.Mebibyte)
+	l, b := newBodyPair(t, 0, &bodyPeer{})
+	k := operator.NewBodyBudget(40 * lavenderridge.Mebibyte)
+	other, a := k.NewAccount(), k.NewAccount()
+	if e := other.ReserveResponse(t.Context(), 8*lavenderridge.Mebibyte); e != nil {
+		t.Fatal(e)
+	}
+	d := make(chan error, 1)
+	go func() {
+		p, e := l.Handle(operator.WithBodyAccount(t.Context(), a), &lavenderridge.Request{ID: "r", Attempt: 1, Method: "GET", Path: fmt.Sprint(size)})
+		if e == nil && len(p.Body) != size {
+			e = fmt.Errorf("%d bytes", len(p.Body))
+		}
+		d <- e
+	}()
+	select {
+	case e := <-d:
+		t.Fatalf("ended without memory: %v", e)
+	case <-time.After(300 * time.Millisecond):
+	}
+	if n, _ := b.Traffic().Sent(); n > 2*streamWindow {
+		t.Errorf("%d bytes were sent without memory; want at most %d", n, 2*streamWindow)
+	}
+	other.Close()
+	if e := <-d; e != nil {
+		t.Error(e)
+	}
+	a.Close()
+}
+
 // exchangePeer remembers for how long it was asked to read.
 type exchangePeer struct {
 	lavenderridge.Peer
@@ -124,7 +158,7 @@
 // it travels beside the message of an exchange.
 func TestReadRequestTravels(t *testing.T) {
 	p := &exchangePeer{}
-	l := newBodyPair(t, 0, p)
+	l, _ := newBodyPair(t, 0, p)
 	for _, d := range []time.Duration{0, 3 * time.Second} {
 		q := &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "a", DataCentre: "dc"}, ReadFor: d}
 		if _, e := l.Exchange(t.Context(), q); e != nil || p.readFor != d {
@@ -137,7 +171,7 @@
 func BenchmarkBody(b *testing.B) {
 	for _, n := range []lavenderridge.ByteCount{lavenderridge.Kibibyte, 64 * lavenderridge.Kibibyte, lavenderridge.Mebibyte, 8 * lavenderridge.Mebibyte, 64 * lavenderridge.Mebibyte} {
 		b.Run(fmt.Sprintf("%dKiB", n/lavenderridge.Kibibyte), func(b *testing.B) {
-			l := newBodyPair(b, 0, &bodyPeer{})
+			l, _ := newBodyPair(b, 0, &bodyPeer{})
 			r := &lavenderridge.Request{ID: "r", Attempt: 1, Method: "POST", Path: "0", Body: make([]byte, n)}
 			b.ReportAllocs()
 			b.SetBytes(int64(n))
