Add the types of customers, their keys and quotas

Cause: a deployment whose services are shared by customers has nothing in the catalogue to hold them.

The new fields are left out of encodings while they are empty, so that a catalogue without customers keeps its digest.

--- a/catalogue.go
+++ b/catalogue.go
@@ -1,7 +1,7 @@
 package lavenderridge
 
 // A Catalogue is the operators' configuration: data centres, overrides of single
-// instances, services, entries (routes) and limits for callers. Each list is
+// instances, services, entries (routes), limits for callers and customers. Each list is
 // sorted by ID.
 type Catalogue struct {
 	DataCentres []DataCentre
@@ -9,4 +9,6 @@
 	Services    []Service
 	Entries     []Entry
 	Callers     CallerLimits
+	// Customers is empty if requests need no key.
+	Customers []Customer `cbor:",omitempty"`
 }
--- a/cataloguedelta.go
+++ b/cataloguedelta.go
@@ -7,4 +7,5 @@
 	Services    Changes[ServiceID, Service]
 	Entries     Changes[EntryID, Entry]
 	Callers     CallerLimits
+	Customers   *Changes[CustomerID, Customer] `cbor:",omitempty"`
 }
--- /dev/null
+++ b/customerid.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// A CustomerID identifies a customer whose requests carry a key.
+type CustomerID string
--- /dev/null
+++ b/customerkey.go
@@ -0,0 +1,40 @@
+package lavenderridge
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"hash"
+	"sync"
+)
+
+// A CustomerKey is the keyed hash of a secret key with which a customer's requests prove
+// where they come from. The zero value stands for a request without a key.
+type CustomerKey [sha256.Size]byte
+
+// keyDomain separates these hashes from all others. It is no secret: all daemons must
+// compute the same hash of a key.
+const keyDomain = "lavenderridge customer key"
+
+var keyHashes = sync.Pool{New: func() any { return hmac.New(sha256.New, []byte(keyDomain)) }}
+
+// NewCustomerKey returns the hash of the secret key s.
+func NewCustomerKey(s []byte) CustomerKey {
+	h := keyHashes.Get().(hash.Hash)
+	defer keyHashes.Put(h)
+	h.Reset()
+	_, _ = h.Write(s)
+	var k CustomerKey
+	h.Sum(k[:0])
+	return k
+}
+
+// Equal compares two keys in constant time.
+func (k CustomerKey) Equal(o CustomerKey) bool {
+	return subtle.ConstantTimeCompare(k[:], o[:]) == 1
+}
+
+// String returns a placeholder, so that no log or message contains a key.
+func (k CustomerKey) String() string {
+	return "[key]"
+}
--- a/entry.go
+++ b/entry.go
@@ -24,4 +24,6 @@
 	Timeout   time.Duration
 	Limits    Limits
 	Objective Objective
+	// Public is true if requests need no customer's key.
+	Public bool `cbor:",omitempty"`
 }
--- a/reason.go
+++ b/reason.go
@@ -73,6 +73,13 @@
 	ReasonTooDeep Reason = "TooDeep"
 	// ReasonBadRequest: the request is malformed.
 	ReasonBadRequest Reason = "BadRequest"
+	// ReasonUnauthenticated: the request carries no key or one that no customer holds.
+	ReasonUnauthenticated Reason = "Unauthenticated"
+	// ReasonQuota: the customer has reached its quota.
+	ReasonQuota Reason = "Quota"
+	// ReasonStaleCatalogue: the daemon can't tell whether the key of the request has been
+	// taken away, because it has heard nothing of the source for too long.
+	ReasonStaleCatalogue Reason = "StaleCatalogue"
 	// ReasonInternal: an error without a reason of its own.
 	ReasonInternal Reason = "Internal"
 )
--- a/request.go
+++ b/request.go
@@ -10,9 +10,13 @@
 	Service ServiceID
 	// Caller is the service of the instance where the request originated.
 	Caller ServiceID
-	Class  Class
-	Method string
-	Host   string
+	// CustomerKey is the key that the request carries; zero if it has none.
+	CustomerKey CustomerKey
+	// Customer is the customer that holds the key; empty if there is none.
+	Customer CustomerID
+	Class    Class
+	Method   string
+	Host     string
 	// Path holds the path and the query.
 	Path   string
 	Header Header
--- /dev/null
+++ b/requests.go
@@ -0,0 +1,4 @@
+package lavenderridge
+
+// Requests is a number of requests.
+type Requests int64
--- a/snapshot.go
+++ b/snapshot.go
@@ -23,6 +23,8 @@
 	instances   map[InstanceID]*Instance
 	byService   map[ServiceID][]*Instance
 	evacuated   map[DataCentreID]bool
+	customers   map[CustomerID]*Customer
+	byKey       map[CustomerKey]*Customer
 }
 
 // NewSnapshot returns the snapshot of a catalogue and an instance list that
@@ -38,8 +40,11 @@
 		overrides:   make(map[InstanceID]ServiceState, len(c.Instances)),
 		instances:   make(map[InstanceID]*Instance, len(l.Instances)),
 		byService:   make(map[ServiceID][]*Instance, len(c.Services)),
+		customers:   make(map[CustomerID]*Customer, len(c.Customers)),
+		byKey:       make(map[CustomerKey]*Customer, len(c.Customers)),
 	}
 	n.indexCatalogue()
+	n.indexCustomers()
 	n.indexInstances()
 	return n
 }
@@ -80,6 +85,16 @@
 	}
 }
 
+func (s *Snapshot) indexCustomers() {
+	for i := range s.Catalogue.Customers {
+		v := &s.Catalogue.Customers[i]
+		s.customers[v.ID] = v
+		for _, k := range v.Keys {
+			s.byKey[k] = v
+		}
+	}
+}
+
 func (s *Snapshot) indexInstances() {
 	for _, d := range s.List.Evacuated {
 		s.evacuated[d] = true
@@ -124,6 +139,16 @@
 	return s.services[d]
 }
 
+// Customer returns the customer with the ID d, or nil.
+func (s *Snapshot) Customer(d CustomerID) *Customer {
+	return s.customers[d]
+}
+
+// CustomerOf returns the customer that holds the key k, or nil.
+func (s *Snapshot) CustomerOf(k CustomerKey) *Customer {
+	return s.byKey[k]
+}
+
 // DataCentre returns the data centre with the ID d, or nil.
 func (s *Snapshot) DataCentre(d DataCentreID) *DataCentre {
 	return s.dataCentres[d]
