--- a/customerkey.go
+++ b/customerkey.go
@@ -1,6 +1,7 @@
 package lavenderridge
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -29,6 +30,11 @@
 	return k
 }
 
+// Compare orders keys.
+func (k CustomerKey) Compare(o CustomerKey) int {
+	return bytes.Compare(k[:], o[:])
+}
+
 // Equal compares two keys in constant time.
 func (k CustomerKey) Equal(o CustomerKey) bool {
 	return subtle.ConstantTimeCompare(k[:], o[:]) == 1
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -32,7 +32,8 @@
 }
 
 func callerOptions(d *Daemon) []callerhttp.Option {
-	o := []callerhttp.Option{
+	return []callerhttp.Option{
+		callerhttp.WithProtocol(callerProtocol(d)),
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
 		callerhttp.WithBodies(d.bodies),
@@ -43,10 +44,6 @@
 			return lavenderridge.CallerLimits{}
 		}),
 	}
-	if d.adapter != nil {
-		o = append(o, callerhttp.WithProtocol(d.adapter.Callers()))
-	}
-	return o
 }
 
 // newEntryHandler returns the chain of handlers for callers' requests. Its code
@@ -58,7 +55,17 @@
 	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f, d.recorder)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
 	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
-	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
+	u := caller.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.clock, d.recorder, o)
+	metrics.NewRegisteredFunctionalGauge("RequestsUnauthenticated", d.metrics, u.Refused)
+	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u)
+}
+
+// callerProtocol returns the protocol of callers.
+func callerProtocol(d *Daemon) lavenderridge.CallerProtocol {
+	if d.adapter == nil {
+		return callerhttp.Protocol{}
+	}
+	return d.adapter.Callers()
 }
 
 // newShedder returns the load shedder for overloaded services, or nil if owners
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -74,6 +74,9 @@
 		x.Instances = h.exclude(x.Instances, s, n, f)
 		x.Refusing = h.policy.Reroutes(f)
 		s = h.latestSnapshot(s, r.Service)
+		if w := caller.Authenticate(s, e, r); w != nil {
+			return nil, a.Conclude(r, lavenderridge.AsRefusal(w))
+		}
 	}
 }
 
--- a/internal/policy/configservice/delta.go
+++ b/internal/policy/configservice/delta.go
@@ -17,17 +17,33 @@
 		Services:    diff(a.Services, b.Services, serviceKey, same[lavenderridge.Service]),
 		Entries:     diff(a.Entries, b.Entries, entryKey, sameEntry),
 		Callers:     b.Callers,
+		Customers:   diffCustomers(a.Customers, b.Customers),
 	}
 }
 
+// diffCustomers returns the changes from a to b, or nil if there are none, so that daemons
+// that don't know customers can read the delta.
+func diffCustomers(a, b []lavenderridge.Customer) *lavenderridge.Changes[lavenderridge.CustomerID, lavenderridge.Customer] {
+	c := diff(a, b, customerKey, sameCustomer)
+	if len(c.Removed) == 0 && len(c.Changed) == 0 {
+		return nil
+	}
+	return &c
+}
+
 // PatchCatalogue returns the catalogue that results from applying d to a.
 func PatchCatalogue(a *lavenderridge.Catalogue, d *lavenderridge.CatalogueDelta) *lavenderridge.Catalogue {
+	c := a.Customers
+	if d.Customers != nil {
+		c = patch(a.Customers, *d.Customers, customerKey)
+	}
 	return &lavenderridge.Catalogue{
 		DataCentres: patch(a.DataCentres, d.DataCentres, dataCentreKey),
 		Instances:   patch(a.Instances, d.Instances, overrideKey),
 		Services:    patch(a.Services, d.Services, serviceKey),
 		Entries:     patch(a.Entries, d.Entries, entryKey),
 		Callers:     d.Callers,
+		Customers:   c,
 	}
 }
 
@@ -46,12 +62,17 @@
 func overrideKey(n *lavenderridge.InstanceOverride) lavenderridge.InstanceID { return n.ID }
 func serviceKey(s *lavenderridge.Service) lavenderridge.ServiceID            { return s.ID }
 func entryKey(e *lavenderridge.Entry) lavenderridge.EntryID                  { return e.ID }
+func customerKey(c *lavenderridge.Customer) lavenderridge.CustomerID         { return c.ID }
 func instanceKey(n *lavenderridge.Instance) lavenderridge.InstanceID         { return n.ID }
 
 func same[V comparable](a, b *V) bool { return *a == *b }
 
 func sameEntry(a, b *lavenderridge.Entry) bool { return reflect.DeepEqual(a, b) }
 
+func sameCustomer(a, b *lavenderridge.Customer) bool {
+	return a.ID == b.ID && a.Class == b.Class && a.Quota == b.Quota && slices.Equal(a.Keys, b.Keys)
+}
+
 // diff compares two lists that are sorted by the key k, in one pass. Elements
 // with equal keys are unchanged if s reports true.
 func diff[K cmp.Ordered, V any](a, b []V, k func(*V) K, s func(a, b *V) bool) lavenderridge.Changes[K, V] {
--- a/internal/policy/configservice/validate.go
+++ b/internal/policy/configservice/validate.go
@@ -21,6 +21,11 @@
 	maxName        = instancelist.MaxNameBytes
 	maxPath        = 1 << 10
 	maxSlots       = instancelist.MaxSlots
+	maxCustomers   = 1 << 14
+	maxKeys        = 1 << 15
+	// maxCustomerBytes bounds the names and keys of all customers, so that a catalogue
+	// with them can be sent whole.
+	maxCustomerBytes = 2 * lavenderridge.Mebibyte
 )
 
 // validator collects the findings for one catalogue.
@@ -38,9 +43,11 @@
 	v.count("Instances", len(c.Instances), maxOverrides)
 	v.count("Services", len(c.Services), maxServices)
 	v.count("Entries", len(c.Entries), maxEntries)
+	v.countCustomers(c.Customers)
 	if len(v.findings) > 0 {
 		return v.findings
 	}
+	v.customers(c.Customers)
 	v.dataCentres(c.DataCentres)
 	v.instances(c.Instances)
 	v.serviceList(c.Services)
@@ -103,9 +110,7 @@
 
 func (v *validator) entry(p string, e *lavenderridge.Entry) {
 	v.name(p+".Owner", string(e.Owner), false)
-	if e.Class < lavenderridge.ClassBackground || e.Class > lavenderridge.ClassCritical {
-		v.findings.Add(p+".Class", "want Background, Normal, Urgent or Critical")
-	}
+	v.class(p+".Class", e.Class)
 	for _, s := range e.Split {
 		if !v.services[s.Service] {
 			v.findings.Add(p+".Split", "no service %q in this catalogue", s.Service)
@@ -162,6 +167,76 @@
 	}
 }
 
+// countCustomers checks the size of the customers and their keys.
+func (v *validator) countCustomers(a []lavenderridge.Customer) {
+	v.count("Customers", len(a), maxCustomers)
+	n, b := 0, lavenderridge.ByteCount(0)
+	for i := range a {
+		n += len(a[i].Keys)
+		b += lavenderridge.ByteCount(len(a[i].ID) + len(a[i].Keys)*len(lavenderridge.CustomerKey{}))
+	}
+	if n > maxKeys {
+		v.findings.Add("Customers", "%d keys are above the limit of %d", n, maxKeys)
+	}
+	if b > maxCustomerBytes {
+		v.findings.Add("Customers", "%d bytes of names and keys are above the limit of %d", b, maxCustomerBytes)
+	}
+}
+
+func (v *validator) customers(a []lavenderridge.Customer) {
+	m := make(map[lavenderridge.CustomerID]bool, len(a))
+	k := make(map[lavenderridge.CustomerKey]lavenderridge.CustomerID, len(a))
+	for i := range a {
+		c := &a[i]
+		p := place("Customers", string(c.ID))
+		v.name(p+".ID", string(c.ID), m[c.ID])
+		m[c.ID] = true
+		v.customerID(p+".ID", c.ID)
+		if c.Class != 0 {
+			v.class(p+".Class", c.Class)
+		}
+		v.between(p+".Quota.Rate", float64(c.Quota.Rate), 0, math.MaxInt32)
+		v.between(p+".Quota.Burst", float64(c.Quota.Burst), 0, math.MaxInt32)
+		v.keys(p, c, k)
+	}
+}
+
+// customerID checks that backend servers can receive the name d in a header field.
+func (v *validator) customerID(p string, d lavenderridge.CustomerID) {
+	for _, b := range []byte(d) {
+		if b < ' ' || b > '~' {
+			v.findings.Add(p, "has characters other than printable ASCII")
+			return
+		}
+	}
+	if strings.TrimSpace(string(d)) != string(d) {
+		v.findings.Add(p, "begins or ends with a space")
+	}
+}
+
+// keys checks the keys of c, whose place is p. The map m holds the customer of each key
+// that has been checked. Keys are named by their index, because they are secrets.
+func (v *validator) keys(p string, c *lavenderridge.Customer, m map[lavenderridge.CustomerKey]lavenderridge.CustomerID) {
+	for i, k := range c.Keys {
+		p := fmt.Sprintf("%s.Keys[%d]", p, i)
+		switch d, o := m[k]; {
+		case k == lavenderridge.CustomerKey{}:
+			v.findings.Add(p, "is empty")
+		case o && d == c.ID:
+			v.findings.Add(p, "duplicate key")
+		case o:
+			v.findings.Add(p, "customer %q has the same key", d)
+		}
+		m[k] = c.ID
+	}
+}
+
+func (v *validator) class(p string, c lavenderridge.Class) {
+	if c < lavenderridge.ClassBackground || c > lavenderridge.ClassCritical {
+		v.findings.Add(p, "want Background, Normal, Urgent or Critical")
+	}
+}
+
 func (v *validator) name(p, s string, d bool) {
 	switch {
 	case s == "":
--- a/internal/transport/backendhttp/protocol.go
+++ b/internal/transport/backendhttp/protocol.go
@@ -18,6 +18,8 @@
 	// NoRetryHeader is "true" if a service earlier in the call chain does the
 	// retries.
 	NoRetryHeader = "X-Request-No-Retry"
+	// CustomerHeader carries the name of the customer; without it, there is none.
+	CustomerHeader = "X-Customer"
 )
 
 // Header fields of a response of the backend server.
@@ -42,6 +44,9 @@
 	if r.NoRetry {
 		h[NoRetryHeader] = []string{"true"}
 	}
+	if r.Customer != "" {
+		h[CustomerHeader] = []string{string(r.Customer)}
+	}
 	if d > 0 {
 		h[TimeoutHeader] = []string{strconv.FormatInt(d.Milliseconds(), 10)}
 	}
--- a/internal/transport/callerhttp/protocol.go
+++ b/internal/transport/callerhttp/protocol.go
@@ -26,6 +26,11 @@
 	// NoRetryHeader is "true" if the caller, or a service earlier in the call
 	// chain, does the retries.
 	NoRetryHeader = "X-Request-No-Retry"
+	// CustomerKeyHeader carries a customer's key.
+	CustomerKeyHeader = "X-Customer-Key"
+	// CustomerHeader is the field in which a backend server receives the name of the
+	// customer.
+	CustomerHeader = "X-Customer"
 )
 
 const maxRequestIDLength = 128 // bytes
@@ -41,6 +46,9 @@
 	r.ID = lavenderridge.RequestID(h.Get(RequestIDHeader))
 	r.Key = lavenderridge.IdempotencyKey(h.Get(IdempotencyKeyHeader))
 	r.NoRetry = h.Get(NoRetryHeader) == "true"
+	if v := h[CustomerKeyHeader]; len(v) == 1 && v[0] != "" {
+		r.CustomerKey = lavenderridge.NewCustomerKey([]byte(v[0]))
+	}
 	if r.ID == "" {
 		r.ID = lavenderridge.RequestID(uuid.NewString())
 	}
@@ -71,6 +79,11 @@
 	return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, fmt.Sprintf("bad %s header: %q", k, v))
 }
 
+// CustomerFields implements lavenderridge.CallerProtocol.
+func (Protocol) CustomerFields() []string {
+	return []string{CustomerKeyHeader, CustomerHeader}
+}
+
 // WriteResponse implements lavenderridge.CallerProtocol.
 func (Protocol) WriteResponse(h lavenderridge.Header, p *lavenderridge.Response) {
 	h[RequestIDHeader] = []string{string(p.ID)}
@@ -101,7 +114,9 @@
 		return http.StatusBadRequest
 	case lavenderridge.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case lavenderridge.ReasonLimit:
+	case lavenderridge.ReasonUnauthenticated:
+		return http.StatusUnauthorized
+	case lavenderridge.ReasonLimit, lavenderridge.ReasonQuota:
 		return http.StatusTooManyRequests
 	case lavenderridge.ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/internal/transport/cataloguetoml/format.go
+++ b/internal/transport/cataloguetoml/format.go
@@ -1,6 +1,7 @@
 package cataloguetoml
 
 import (
+	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -26,6 +27,9 @@
 	for i := range c.Entries {
 		v.Entries = append(v.Entries, newFileEntry(&c.Entries[i]))
 	}
+	for i := range c.Customers {
+		v.Customers = append(v.Customers, newFileCustomer(&c.Customers[i]))
+	}
 	b, e := toml.Marshal(v)
 	if e != nil {
 		return nil, fmt.Errorf("cataloguetoml: %w", e)
@@ -40,10 +44,22 @@
 		Limits: fileLimits{
 			Concurrency: int(v.Limits.Concurrency), Rate: float64(v.Limits.Rate), Attempts: uint16(v.Limits.Attempts),
 		},
+		Public:    v.Public,
 		Objective: fileObjective{Success: float64(v.Objective.Success), Latency: formatDuration(v.Objective.Latency)},
 	}
 }
 
+func newFileCustomer(v *lavenderridge.Customer) fileCustomer {
+	c := fileCustomer{ID: string(v.ID), Quota: fileQuota{Rate: float64(v.Quota.Rate), Burst: int64(v.Quota.Burst)}}
+	if v.Class != 0 {
+		c.Class = v.Class.String()
+	}
+	for _, k := range v.Keys {
+		c.Keys = append(c.Keys, hex.EncodeToString(k[:]))
+	}
+	return c
+}
+
 func formatDuration(d time.Duration) string {
 	if d == 0 {
 		return ""
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -38,6 +38,8 @@
 	message, body []byte
 	// heard is the text of heardField.
 	heard string
+	// customer is the text of customerField.
+	customer string
 	// readFor is the time in readField.
 	readFor time.Duration
 }
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -44,7 +44,7 @@
 
 // Handle implements lavenderridge.Handler.
 func (l *link) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
-	w, f := newWireRequest(r, time.Now()), &frame{heard: encodeHeard(r.Heard)}
+	w, f := newWireRequest(r, time.Now()), &frame{heard: encodeHeard(r.Heard), customer: encodeCustomer(r.Customer)}
 	if lavenderridge.ByteCount(len(r.Body)) >= minFramedBody {
 		f.body, w.Body = r.Body, nil
 	}
@@ -155,6 +155,9 @@
 	if f.heard != "" {
 		q.Header.Set(heardField, f.heard)
 	}
+	if f.customer != "" {
+		q.Header.Set(customerField, f.customer)
+	}
 	if f.readFor > 0 {
 		q.Header.Set(readField, f.readFor.String())
 	}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -143,6 +143,9 @@
 	if h := q.Header.Get(heardField); h != "" {
 		c = context.WithValue(c, heardKey{}, h)
 	}
+	if h := q.Header.Get(customerField); h != "" {
+		c = context.WithValue(c, customerTextKey{}, h)
+	}
 	if h := q.Header.Get(readField); h != "" {
 		c = context.WithValue(c, readForKey{}, h)
 	}
@@ -228,7 +231,11 @@
 		w.Body = d
 	}
 	r := w.request(lavenderridge.Sender{Instance: i.Instance, DataCentre: i.DataCentre}, time.Now())
+	var e error
 	r.Heard = heard(c)
+	if r.Customer, e = customer(c); e != nil {
+		return nil, newNotRun(e.Error())
+	}
 	if !r.Deadline.IsZero() {
 		x, f := context.WithDeadline(c, r.Deadline)
 		defer f()
