--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -73,9 +73,8 @@
 		}
 		x.Instances = h.exclude(x.Instances, s, n, f)
 		x.Refusing = h.policy.Reroutes(f)
-		s = h.latestSnapshot(s, r.Service)
-		if w := caller.Authenticate(s, e, r); w != nil {
-			return nil, a.Conclude(r, lavenderridge.AsRefusal(w))
+		if s, v = h.renewSnapshot(s, e, r); v != nil {
+			return nil, a.Conclude(r, lavenderridge.AsRefusal(v))
 		}
 	}
 }
@@ -107,6 +106,10 @@
 			Reason: fmt.Sprintf("attempt %d at %s: status %d", a.Count(), n, p.Status), Versions: s.Versions(),
 		})
 		x.Instances = append(x.Instances, n)
+		var v error
+		if s, v = h.renewSnapshot(s, e, r); v != nil {
+			return p
+		}
 		q := *r
 		q.Attempt, q.NoRetry = a.Count()+1, true
 		i, w, o := h.next.Attempt(c, s, &q, x)
@@ -147,6 +150,19 @@
 	})
 }
 
+// renewSnapshot returns the snapshot for another attempt of r, in place of s. If that has
+// another catalogue, it returns a refusal if the key of r has been taken away.
+func (h *RetryHandler) renewSnapshot(s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Snapshot, error) {
+	n := h.latestSnapshot(s, r.Service)
+	if n == s || n.Catalogue == s.Catalogue {
+		return n, nil
+	}
+	if v := n.Entry(e.ID); v != nil {
+		e = v
+	}
+	return n, caller.Authenticate(n, e, r)
+}
+
 // latestSnapshot returns the current snapshot, or s if the current one lacks the
 // service d.
 func (h *RetryHandler) latestSnapshot(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *lavenderridge.Snapshot {
--- a/internal/policy/configservice/validate.go
+++ b/internal/policy/configservice/validate.go
@@ -215,15 +215,15 @@
 }
 
 // keys checks the keys of c, whose place is p. The map m holds the customer of each key
-// that has been checked. Keys are named by their index, because they are secrets.
+// that has been checked. Findings name no key, because keys are secrets.
 func (v *validator) keys(p string, c *lavenderridge.Customer, m map[lavenderridge.CustomerKey]lavenderridge.CustomerID) {
-	for i, k := range c.Keys {
-		p := fmt.Sprintf("%s.Keys[%d]", p, i)
+	p += ".Keys"
+	for _, k := range c.Keys {
 		switch d, o := m[k]; {
 		case k == lavenderridge.CustomerKey{}:
-			v.findings.Add(p, "is empty")
+			v.findings.Add(p, "one is empty")
 		case o && d == c.ID:
-			v.findings.Add(p, "duplicate key")
+			v.findings.Add(p, "the same key twice")
 		case o:
 			v.findings.Add(p, "customer %q has the same key", d)
 		}
--- a/internal/transport/peerhttp/session_test.go
+++ b/internal/transport/peerhttp/session_test.go
@@ -266,15 +266,21 @@
 	})
 }
 
-// TestWireForm checks that a request keeps everything but the digests of its stamps
-// and the notice for the caller's side when it is encoded and decoded. What the sender
-// has heard travels beside the message.
+// TestWireForm checks that a request keeps everything but the digests of its stamps,
+// the notice for the caller's side and the customer's key when it is encoded and decoded.
+// The key isn't sent to other daemons. The customer and what the sender has heard travel
+// beside the message.
 func TestWireForm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := rapid.Make[lavenderridge.Request]().Draw(t, "request")
 		n := time.Unix(1_800_000_000, 0)
 		r.Deadline = n.Add(time.Duration(rapid.IntRange(1, 1_000_000_000).Draw(t, "remaining")))
 		r.Heard, r.Limited = heardNotices.Draw(t, "notice"), nil
+		k := r.CustomerKey
+		if b, e := cbor.Marshal(newWireRequest(&r, n)); e != nil || k != (lavenderridge.CustomerKey{}) && bytes.Contains(b, k[:]) {
+			t.Fatalf("the message contains the customer's key, or can't be encoded (%v)", e)
+		}
+		r.CustomerKey = lavenderridge.CustomerKey{}
 		r.Sender.Stamps.Catalogue.Digest, r.Sender.Stamps.InstanceList.Digest = lavenderridge.Digest{}, lavenderridge.Digest{}
 		b, e := encode(byte(kindHandle), newWireRequest(&r, n))
 		if e != nil {
@@ -286,6 +292,9 @@
 		}
 		v := w.request(lavenderridge.Sender{Instance: r.Sender.Instance, DataCentre: r.Sender.DataCentre}, n)
 		v.Heard = decodeHeard(encodeHeard(r.Heard))
+		if v.Customer, e = customer(context.WithValue(t.Context(), customerTextKey{}, encodeCustomer(r.Customer))); e != nil {
+			t.Fatal(e)
+		}
 		if !reflect.DeepEqual(v, &r) {
 			t.Fatalf("got %+v\nwant %+v", v, &r)
 		}
