--- a/internal/cmd/lavenderridge/run.go
+++ b/internal/cmd/lavenderridge/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -57,7 +58,7 @@
 	n := p.Command("measure", "Measure the system on this machine.")
 	a := []command{
 		newServeCmd(p, w), newCheckCmd(p, w), newStatusCmd(p, w), newExplainCmd(p, w), newBurnCmd(p, w),
-		newLoadCmd(p, w), newTryCmd(p, w), newSoakCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w),
+		newLoadCmd(p, w), newTryCmd(p, w), newSoakCmd(p, w), newStandinCmd(p, w), newVersionCmd(p, w), newHashKeyCmd(p, os.Stdin, w),
 		newKeysAuthorityCmd(k, w), newKeysIssueCmd(k, w), newKeysRenewCmd(k, w), newKeysShowCmd(k, w),
 		newMeasureConvergenceCmd(n, w), newMeasureActivationCmd(n, w), newMeasureDataCentreCmd(n, w),
 		newMeasureLatencyCmd(n, w), newMeasureGoodputCmd(n, w), newMeasureRestartCmd(n, w),
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -35,7 +35,8 @@
 		o = append(o, backendserver.WithListedCapacity(d.config.ColdFactor, d.config.ColdSlack, d.config.LinkRate))
 	}
 	h = backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
-	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
+	u := backendserver.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.configuration.store, d.config.Instance, h)
+	return &ownerPart{service: d.config.Service, owner: h, handler: u, suspects: h.Suspects()}, nil
 }
 
 // backendOptions returns the options that the settings and the adapter require, if
--- a/internal/daemon/caller/observehandler.go
+++ b/internal/daemon/caller/observehandler.go
@@ -35,7 +35,7 @@
 	}
 	t := h.clock.Now()
 	o := lavenderridge.Observation{
-		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b), Service: r.Service,
+		Time: t, Request: r.ID, Entry: e.ID, DataCentre: h.dataCentre, Versions: s.Versions(), Latency: t.Sub(b), Service: r.Service, Customer: r.Customer,
 	}
 	if v != nil {
 		o.Refusal = lavenderridge.AsRefusal(v)
--- a/internal/daemon/operator/requestlog.go
+++ b/internal/daemon/operator/requestlog.go
@@ -26,6 +26,9 @@
 		zap.Int64("LatencyMicroseconds", o.Latency.Microseconds()),
 		zap.Uint64("Catalogue", uint64(o.Versions.Catalogue)), zap.Uint64("InstanceList", uint64(o.Versions.InstanceList)),
 	}
+	if o.Customer != "" {
+		f = append(f, zap.String("Customer", string(o.Customer)))
+	}
 	if v := o.Refusal; v != nil {
 		r.log.Info("RequestRefused", append(f,
 			zap.String("Reason", string(v.Reason)), zap.String("Outcome", v.Outcome.String()), zap.String("Place", string(v.Place)),
--- a/observation.go
+++ b/observation.go
@@ -14,6 +14,8 @@
 	Versions Versions
 	Latency  time.Duration
 	Service  ServiceID
+	// Customer is the customer whose key the request carried; empty if it had none.
+	Customer CustomerID
 	// Target is the instance that responded, and Attempt the number of the
 	// attempt that it responded to; both are zero values after a refusal.
 	Target  InstanceID
