--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -45,14 +46,18 @@
 		return lavenderridge.NewNotice(h["Limit"], h["Leaving"])
 	}))
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f, s))
-	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewObserveHandler(s, s, "dc-0", l))
+	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewCustomerHandler([]string{"Key", "Customer"}, s, s, caller.NewObserveHandler(s, s, "dc-0", l)))
 	return s
 }
 
 func (s *session) Now() time.Time                    { return s.now }
 func (s *session) Snapshot() *lavenderridge.Snapshot { return s.snapshot }
 
-func (s *session) Record(lavenderridge.Decision) {}
+func (s *session) Record(d lavenderridge.Decision) {
+	if d.Event == "RequestUnauthenticated" {
+		s.attempts = append(s.attempts, d.Event+" "+d.Subject+": "+d.Reason)
+	}
+}
 
 func (s *session) Observe(o lavenderridge.Observation) { s.observed = o }
 
@@ -83,6 +88,9 @@
 // "newer-catalogue", with the refusal of an owner whose data centre has been taken out
 // of service by a catalogue that this daemon accepts during the attempt.
 //
+// "new-customers:<key>" is an overloaded target, during whose attempt this daemon accepts a
+// catalogue in which the customer "other" has only that key.
+//
 // "named:<limit>" and "leaving" are responses with a notice of the backend server, and
 // "full:<limit>:<time>" is the refusal of an owner whose backend server has room after
 // that time.
@@ -108,7 +116,18 @@
 	if r.Heard != nil {
 		l += fmt.Sprintf(", told of %g a second %s ago", r.Heard.Limit, r.Heard.Age)
 	}
+	if r.Customer != "" {
+		l += ", customer " + string(r.Customer) + ", class " + r.Class.String()
+	}
+	if len(r.Header) > 0 {
+		l += fmt.Sprintf(", header %v", r.Header)
+	}
 	s.attempts = append(s.attempts, l)
+	if k, o := strings.CutPrefix(a, "new-customers:"); o {
+		s.catalogue.Customers = []lavenderridge.Customer{{ID: "other", Keys: []lavenderridge.CustomerKey{lavenderridge.NewCustomerKey([]byte(k))}}}
+		s.publish()
+		a = "target:NotRun:Overloaded"
+	}
 	if a == "newer-catalogue" {
 		s.takeOutOfService(s.snapshot.Instance(n.instance).DataCentre)
 		a = "target:NotRun:OutOfService"
@@ -188,6 +207,18 @@
 		b.ID, b.PathPrefix, b.Class, b.Limits = "batch", "/batch", lavenderridge.ClassBackground, lavenderridge.Limits{Rate: 1}
 		s.catalogue.Entries = []lavenderridge.Entry{b, r, w}
 		s.publish()
+	case "customers":
+		s.catalogue.Customers = nil
+		for l := range strings.Lines(d.Input) {
+			w := strings.Fields(l)
+			c := lavenderridge.Customer{ID: lavenderridge.CustomerID(w[0])}
+			c.Class, _ = lavenderridge.ParseClass(w[1])
+			for _, k := range w[2:] {
+				c.Keys = append(c.Keys, lavenderridge.NewCustomerKey([]byte(k)))
+			}
+			s.catalogue.Customers = append(s.catalogue.Customers, c)
+		}
+		s.publish()
 	case "responses":
 		s.scripts = map[lavenderridge.InstanceID]string{}
 		for _, a := range d.CmdArgs {
@@ -234,10 +265,15 @@
 	if d.MaybeScanArgs(t, "key", &k) {
 		r.Key = lavenderridge.IdempotencyKey(k)
 	}
+	if d.MaybeScanArgs(t, "customer-key", &k) {
+		r.CustomerKey = lavenderridge.NewCustomerKey([]byte(k))
+		r.Header = lavenderridge.Header{"Key": {k}, "Customer": {"forged"}, "Other": {"x"}}
+	}
 	var b strings.Builder
 	for range n {
 		s.attempts, s.observed = nil, lavenderridge.Observation{}
 		q := *r
+		q.Header = maps.Clone(r.Header)
 		// The session's clock is decades ahead of the real one, so that no context
 		// reaches its deadline.
 		c, f := context.WithCancel(context.Background())
