--- a/internal/transport/peerhttp/session_test.go
+++ b/internal/transport/peerhttp/session_test.go
@@ -1,15 +1,18 @@
 package peerhttp
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -24,10 +27,13 @@
 type slowPeer struct {
 	lavenderridge.Peer
 	begun, cancelled atomic.Int64
+	// customer is that of the last request.
+	customer atomic.Value
 }
 
 func (p *slowPeer) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
 	p.begun.Add(1)
+	p.customer.Store(r.Customer)
 	d, e := time.ParseDuration(r.Path)
 	if e != nil {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonNoRoute, "scripted")
@@ -123,22 +129,28 @@
 	d.ScanArgs(s.t, "takes", &a)
 	d.MaybeScanArgs(s.t, "deadline", &m)
 	v, _ := time.ParseDuration(m)
-	return func() string { return s.call(c, a, v) }
+	r := &lavenderridge.Request{ID: "r", Attempt: 1, Path: a}
+	d.MaybeScanArgs(s.t, "customer", (*string)(&r.Customer))
+	return func() string { return s.call(c, r, v) }
 }
 
-func (s *session) call(c context.Context, a string, m time.Duration) string {
+func (s *session) call(c context.Context, r *lavenderridge.Request, m time.Duration) string {
 	if m > 0 {
 		x, f := context.WithTimeout(c, m)
 		defer f()
 		c = x
 	}
 	n := &lavenderridge.Instance{ID: "b", Peer: s.link.Address()}
-	p, e := s.client.Dial(n).Handle(c, &lavenderridge.Request{ID: "r", Attempt: 1, Path: a})
+	p, e := s.client.Dial(n).Handle(c, r)
 	if e != nil {
 		f := lavenderridge.AsRefusal(e)
 		return fmt.Sprintf("%s %s place=%q\n", f.Outcome, f.Reason, f.Place)
 	}
-	return fmt.Sprintf("status %d from %s\n", p.Status, p.Sender.Instance)
+	t := fmt.Sprintf("status %d from %s\n", p.Status, p.Sender.Instance)
+	if r.Customer != "" {
+		t += fmt.Sprintf("for the customer %q\n", s.peer.customer.Load())
+	}
+	return t
 }
 
 func (s *session) runCommand(d *datadriven.TestData) string {
@@ -292,7 +304,7 @@
 		}
 		v := w.request(lavenderridge.Sender{Instance: r.Sender.Instance, DataCentre: r.Sender.DataCentre}, n)
 		v.Heard = decodeHeard(encodeHeard(r.Heard))
-		if v.Customer, e = customer(context.WithValue(t.Context(), customerTextKey{}, encodeCustomer(r.Customer))); e != nil {
+		if v.Customer, e = customer(context.WithValue(context.Background(), customerTextKey{}, encodeCustomer(r.Customer))); e != nil {
 			t.Fatal(e)
 		}
 		if !reflect.DeepEqual(v, &r) {
@@ -301,6 +313,24 @@
 	})
 }
 
+// FuzzCustomer checks that the text of the field for the customer, which may be anything,
+// gives a customer or an error, and that a customer is unchanged by its encoding.
+func FuzzCustomer(f *testing.F) {
+	f.Add("")
+	f.Add("=")
+	f.Add(encodeCustomer("pulo780"))
+	f.Add(strings.Repeat("a", maxCustomerText+1))
+	f.Fuzz(func(t *testing.T, s string) {
+		d, e := customer(context.WithValue(t.Context(), customerTextKey{}, s))
+		if e != nil {
+			return
+		}
+		if v, e := customer(context.WithValue(t.Context(), customerTextKey{}, encodeCustomer(d))); e != nil || v != d {
+			t.Errorf("%q gives %q, and its encoding %q, %v", s, d, v, e)
+		}
+	})
+}
+
 // FuzzHandleMessage checks that the server has a reply to every message that
 // carries a request or is of an unknown kind, also if it does not decode.
 func FuzzHandleMessage(f *testing.F) {
