--- a/customerkey.go
+++ b/customerkey.go
@@ -17,17 +17,22 @@
 // compute the same hash of a key.
 const keyDomain = "lavenderridge customer key"
 
-var keyHashes = sync.Pool{New: func() any { return hmac.New(sha256.New, []byte(keyDomain)) }}
+// keyHasher computes hashes of keys one after the other without an allocation.
+type keyHasher struct {
+	hash hash.Hash
+	sum  []byte
+}
+
+var keyHashers = sync.Pool{New: func() any { return &keyHasher{hash: hmac.New(sha256.New, []byte(keyDomain))} }}
 
 // NewCustomerKey returns the hash of the secret key s.
 func NewCustomerKey(s []byte) CustomerKey {
-	h := keyHashes.Get().(hash.Hash)
-	defer keyHashes.Put(h)
-	h.Reset()
-	_, _ = h.Write(s)
-	var k CustomerKey
-	h.Sum(k[:0])
-	return k
+	h := keyHashers.Get().(*keyHasher)
+	defer keyHashers.Put(h)
+	h.hash.Reset()
+	_, _ = h.hash.Write(s)
+	h.sum = h.hash.Sum(h.sum[:0])
+	return CustomerKey(h.sum)
 }
 
 // Compare orders keys.
--- a/internal/policy/configservice/validate.go
+++ b/internal/policy/configservice/validate.go
@@ -23,9 +23,12 @@
 	maxSlots       = instancelist.MaxSlots
 	maxCustomers   = 1 << 14
 	maxKeys        = 1 << 15
-	// maxCustomerBytes bounds the names and keys of all customers, so that a catalogue
-	// with them can be sent whole.
-	maxCustomerBytes = 2 * lavenderridge.Mebibyte
+	// maxCustomerBytes bounds the encoding of all customers, so that three quarters of that
+	// of a catalogue remain for them and one for the rest. A customer has at most
+	// customerBytes beside its name, and a key keyBytes.
+	maxCustomerBytes = maxEncodedSize / 4 * 3
+	customerBytes    = 64
+	keyBytes         = 34
 )
 
 // validator collects the findings for one catalogue.
@@ -173,13 +176,13 @@
 	n, b := 0, lavenderridge.ByteCount(0)
 	for i := range a {
 		n += len(a[i].Keys)
-		b += lavenderridge.ByteCount(len(a[i].ID) + len(a[i].Keys)*len(lavenderridge.CustomerKey{}))
+		b += lavenderridge.ByteCount(customerBytes + len(a[i].ID) + len(a[i].Keys)*keyBytes)
 	}
 	if n > maxKeys {
 		v.findings.Add("Customers", "%d keys are above the limit of %d", n, maxKeys)
 	}
 	if b > maxCustomerBytes {
-		v.findings.Add("Customers", "%d bytes of names and keys are above the limit of %d", b, maxCustomerBytes)
+		v.findings.Add("Customers", "%d bytes are above the limit of %d", b, maxCustomerBytes)
 	}
 }
 
--- a/internal/transport/confighttp/client.go
+++ b/internal/transport/confighttp/client.go
@@ -19,7 +19,7 @@
 const VersionHeader = "X-Document-Version"
 
 const (
-	maxDocument = lavenderridge.Mebibyte
+	maxDocument = 4 * lavenderridge.Mebibyte
 	// responseGrace is the time beyond the requested wait after which a response
 	// must begin, and the longest pause in it.
 	responseGrace = time.Second
