--- a/internal/daemon/operator/journal.go
+++ b/internal/daemon/operator/journal.go
@@ -53,8 +53,11 @@
 }
 
 func refusalReason(o *lavenderridge.Observation) string {
-	r := o.Refusal
-	return fmt.Sprintf("entry %s: %s, %s, by %s: %s", o.Entry, r.Reason, r.Outcome, r.Place, r.Detail)
+	r, c := o.Refusal, ""
+	if o.Customer != "" {
+		c = ", customer " + string(o.Customer)
+	}
+	return fmt.Sprintf("entry %s%s: %s, %s, by %s: %s", o.Entry, c, r.Reason, r.Outcome, r.Place, r.Detail)
 }
 
 // Recorded returns the number of decisions and refusals that have been recorded,
--- a/internal/daemon/operator/journal_test.go
+++ b/internal/daemon/operator/journal_test.go
@@ -31,10 +31,12 @@
 		case "refuse":
 			r := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "no slot")
 			r.Place = "roster-1"
-			j.Observe(lavenderridge.Observation{
+			o := lavenderridge.Observation{
 				Time: now, Request: lavenderridge.RequestID(x.CmdArgs[0].Key), Entry: "roster-read",
 				Versions: lavenderridge.Versions{Catalogue: 8, InstanceList: 3}, Refusal: r,
-			})
+			}
+			x.MaybeScanArgs(t, "customer", (*string)(&o.Customer))
+			j.Observe(o)
 		case "show":
 			x.ScanArgs(t, "limit", &n)
 			var b strings.Builder
