--- a/internal/policy/configservice/bench_test.go
+++ b/internal/policy/configservice/bench_test.go
@@ -152,8 +152,15 @@
 		c *lavenderridge.Catalogue
 		o bool
 	}{
-		{n(10_000, 2, "customer-"), true}, {n(15_000, 1, ""), true}, {n(16_384, 1, ""), false}, {n(16_384, 0, ""), true}, {n(16_385, 0, ""), false}, {n(1, 32_768, ""), true},
-		{n(1, 32_769, ""), false}, {n(6_000, 0, long), true}, {n(7_000, 0, long), false},
+		{n(10_000, 2, "customer-"), true},
+		{n(15_000, 1, ""), true},
+		{n(16_384, 1, ""), false},
+		{n(16_384, 0, ""), true},
+		{n(16_385, 0, ""), false},
+		{n(1, 32_768, ""), true},
+		{n(1, 32_769, ""), false},
+		{n(6_000, 0, long), true},
+		{n(7_000, 0, long), false},
 	} {
 		f := configservice.ValidateCatalogue(v.c)
 		if (len(f) == 0) != v.o {
