--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -26,6 +26,7 @@
 // file determines. It implements the handler's clock, recorder, snapshot source
 // and backend server.
 type session struct {
+	customers customerSession
 	mutex     sync.Mutex
 	now       time.Time
 	snapshot  *lavenderridge.Snapshot
@@ -236,6 +237,8 @@
 		d.MaybeScanArgs(t, "run", (*string)(&s.run))
 	}
 	switch d.Cmd {
+	case "catalogue", "request":
+		return s.customers.customerCommand(t, d)
 	case "open":
 		v := lavenderridge.Service{ID: "billing", Slots: 10, Connections: 130, Queue: 2}
 		d.MaybeScanArgs(t, "slots", &v.Slots)
