Keep the responses to idempotency keys apart by customer

A request with another customer's idempotency key and the same content got the other one's response (TestCustomersShareNoIdempotencyKey, seen failing).

--- a/internal/daemon/backendserver/ledgerhandler.go
+++ b/internal/daemon/backendserver/ledgerhandler.go
@@ -202,11 +202,15 @@
 	return lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonCancelled, "the caller disconnected")
 }
 
-// fingerprint hashes the method, path and body of a request, to detect a key that
-// is reused for a different request.
+// fingerprint hashes the method, path, body and customer of a request, to detect a key that
+// is reused for a different request. No customer gets the response to another one's request.
 func fingerprint(r *lavenderridge.Request) lavenderridge.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
+	if r.Customer != "" {
+		// No method begins with this byte.
+		_, _ = d.WriteString("\x01" + string(r.Customer) + "\x00")
+	}
 	for _, s := range []string{r.Method, r.Path} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
