--- a/internal/cmd/lavenderridge/soakcmd.go
+++ b/internal/cmd/lavenderridge/soakcmd.go
@@ -29,6 +29,7 @@
 	duration    time.Duration
 	logRoot     string
 	printSteps  bool
+	customers   bool
 }
 
 var _ command = (*soakCmd)(nil)
@@ -41,6 +42,7 @@
 	s.clause.Flag("data-centres", "Number of data centres.").Default("3").IntVar(&s.dataCentres)
 	s.clause.Flag("duration", "Period during which new faults start.").Default("15s").DurationVar(&s.duration)
 	s.clause.Flag("keep", "Directory for the logs of the daemons, with a subdirectory for each seed; without it the logs are deleted.").StringVar(&s.logRoot)
+	s.clause.Flag("customers", "Publish catalogues with customers, which daemons of earlier versions reject.").Default("true").BoolVar(&s.customers)
 	s.clause.Flag("steps", "Print the faults.").BoolVar(&s.printSteps)
 	return s
 }
@@ -87,6 +89,9 @@
 		return false, fmt.Errorf("soak: %w", e)
 	}
 	p := plan.NewPlan(n, s.daemons, s.dataCentres, s.duration)
+	if !s.customers {
+		p.Customers, p.Revocations = 0, nil
+	}
 	if s.printSteps {
 		for _, v := range p.Steps {
 			_, _ = fmt.Fprintln(s.out, v)
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -33,6 +33,8 @@
 	// maxAttempts bounds how often a request with a key is sent until it is
 	// answered.
 	maxAttempts = 4
+	// forgedCustomer is the customer that callers name themselves, in vain.
+	forgedCustomer = "forged"
 	// samplePeriod is the time between two samples of the versions, and the
 	// timeout of each.
 	samplePeriod    = 100 * time.Millisecond
@@ -50,14 +52,15 @@
 	h := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true}}
 	defer h.CloseIdleConnections()
 	p := f.processes[i%len(f.processes)]
-	for c.Err() == nil {
+	for n := 0; c.Err() == nil; n++ {
+		u := f.credentials(i, n)
 		switch r.IntN(3) {
 		case 0:
-			f.recordSend(f.send(c, h, p, http.MethodGet, readPath, ""))
+			f.recordSend(f.send(c, h, p, http.MethodGet, readPath, "", u))
 		case 1:
-			f.recordSend(f.send(c, h, p, http.MethodPost, writePath, ""))
+			f.recordSend(f.send(c, h, p, http.MethodPost, writePath, "", u))
 		default:
-			f.callKeyed(c, r, h, p)
+			f.callKeyed(c, r, h, p, u)
 		}
 		if lavenderridge.Sleep(c, time.Duration(r.Int64N(int64(2*meanCallPause)))) != nil {
 			break
@@ -66,15 +69,15 @@
 	return nil
 }
 
-// callKeyed sends a request with a new idempotency key to the daemon p, and again
-// to randomly chosen daemons until it is answered.
-func (f *Fleet) callKeyed(c context.Context, r *rand.Rand, h *http.Client, p *process) {
-	u, e := uuid.NewV7()
+// callKeyed sends a request with a new idempotency key and the credentials u to the daemon
+// p, and again to randomly chosen daemons until it is answered.
+func (f *Fleet) callKeyed(c context.Context, r *rand.Rand, h *http.Client, p *process, u credentials) {
+	k, e := uuid.NewV7()
 	if e != nil {
 		return
 	}
 	for range maxAttempts {
-		s := f.send(c, h, p, http.MethodPost, writePath, lavenderridge.IdempotencyKey(u.String()))
+		s := f.send(c, h, p, http.MethodPost, writePath, lavenderridge.IdempotencyKey(k.String()), u)
 		f.recordSend(s)
 		if s.Result == judge.Answered || lavenderridge.Sleep(c, meanCallPause) != nil {
 			return
@@ -90,12 +93,13 @@
 	f.history.Sends = append(f.history.Sends, s)
 }
 
-// send sends one request to the daemon p. The end of c does not cancel it, so
-// that its outcome is always recorded.
-func (f *Fleet) send(c context.Context, h *http.Client, p *process, m, t string, k lavenderridge.IdempotencyKey) judge.Send {
+// send sends one request with the credentials u to the daemon p. The end of c does not
+// cancel it, so that its outcome is always recorded.
+func (f *Fleet) send(c context.Context, h *http.Client, p *process, m, t string, k lavenderridge.IdempotencyKey, u credentials) judge.Send {
 	s := judge.Send{
 		ID: lavenderridge.RequestID(uuid.NewString()), Key: k, Idempotent: t == readPath,
 		Daemon: p.instance.ID, Begun: time.Now(), Result: judge.Unsent,
+		Customer: u.customer, CustomerKey: u.key,
 	}
 	q, e := http.NewRequestWithContext(context.WithoutCancel(c), m, "http://"+string(p.caller)+"/"+t, unreplayableBody{http.NoBody})
 	if e != nil {
@@ -105,11 +109,16 @@
 	if k != "" {
 		q.Header.Set(callerhttp.IdempotencyKeyHeader, string(k))
 	}
+	if u.key != "" {
+		q.Header.Set(callerhttp.CustomerKeyHeader, u.key)
+		q.Header.Set(callerhttp.CustomerHeader, forgedCustomer)
+	}
 	if rand.Float64() < slowShare {
 		q.Header.Set(durationHeader, slowDuration)
 	}
 	a, e := h.Do(q)
 	s.Result = readResult(a, e)
+	s.Unauthenticated = e == nil && a.StatusCode == http.StatusUnauthorized
 	s.Ended = time.Now()
 	return s
 }
--- a/internal/soak/fleet/faults.go
+++ b/internal/soak/fleet/faults.go
@@ -38,6 +38,14 @@
 			return f.nameLimit(c, l)
 		})
 	}
+	for _, r := range f.plan.Revocations {
+		g.Go(func() error {
+			if e := lavenderridge.Sleep(c, time.Until(b.Add(r.At))); e != nil {
+				return nil
+			}
+			return f.revoke(r)
+		})
+	}
 	for _, s := range f.plan.Steps {
 		if e := lavenderridge.Sleep(c, time.Until(b.Add(s.At))); e != nil {
 			break
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -111,6 +111,7 @@
 	}
 	f.source.Publish(lavenderridge.DocumentInstanceList, t)
 	f.catalogue = newCatalogue(p.DataCentres)
+	f.catalogue.Customers = newCustomers(p.Customers)
 	return f, f.publish()
 }
 
@@ -173,6 +174,7 @@
 		for _, r := range p.backend.RunLog() {
 			f.history.Runs = append(f.history.Runs, judge.Run{
 				Request: r.Request, Key: r.Key, Instance: p.instance.ID, DataCentre: p.instance.DataCentre, Begun: r.Begun,
+				Customer: r.Customer, KeyShown: r.KeyShown,
 			})
 		}
 	}
@@ -251,9 +253,9 @@
 			f.history.Outdated = append(f.history.Outdated, p.instance.ID)
 		}
 		h := &http.Client{Timeout: callTimeout}
-		for range probesPerDaemon {
+		for i := range probesPerDaemon {
 			f.history.Probes++
-			if r := f.send(c, h, p, http.MethodGet, readPath, "").Result; r == judge.Answered {
+			if r := f.send(c, h, p, http.MethodGet, readPath, "", f.credentials(i, 0)).Result; r == judge.Answered {
 				f.history.Answered++
 			}
 		}
--- a/internal/soak/judge/history.go
+++ b/internal/soak/judge/history.go
@@ -21,6 +21,8 @@
 	OutOfServicePeriods []OutOfServicePeriod
 	// LimitPeriods are the periods in which backend servers named limits.
 	LimitPeriods []LimitPeriod
+	// KeyRemovals are the removals of customers' keys.
+	KeyRemovals []KeyRemoval
 	// Slots is the limit of concurrent requests at each backend server, and
 	// PeakInFlight the greatest number that ran concurrently, by instance.
 	Slots        lavenderridge.Slots
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -33,6 +33,8 @@
 	v.checkActivation(&f)
 	v.checkOutOfService(&f)
 	v.checkLimits(&f)
+	v.checkCustomers(&f)
+	v.checkRemovedKeys(&f)
 	for _, n := range slices.Sorted(keys(v.PeakInFlight)) {
 		if v.PeakInFlight[n] > v.Slots {
 			f.Add(string(n), "%d requests ran concurrently; the limit is %d slots", v.PeakInFlight[n], v.Slots)
--- a/internal/soak/judge/run.go
+++ b/internal/soak/judge/run.go
@@ -13,4 +13,8 @@
 	Instance   lavenderridge.InstanceID
 	DataCentre lavenderridge.DataCentreID
 	Begun      time.Time
+	// Customer is the customer that the backend server was told, and KeyShown is true if it
+	// received a key.
+	Customer lavenderridge.CustomerID
+	KeyShown bool
 }
--- a/internal/soak/judge/send.go
+++ b/internal/soak/judge/send.go
@@ -18,4 +18,9 @@
 	Begun      time.Time
 	Ended      time.Time
 	Result     Result
+	// Customer is the customer that holds CustomerKey; both are empty without a key.
+	Customer    lavenderridge.CustomerID
+	CustomerKey string
+	// Unauthenticated is true if the request was refused for its key.
+	Unauthenticated bool
 }
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -26,6 +26,7 @@
 	// minLimitDuration is longer than the time from which a limit must be kept and the
 	// window in which it is.
 	minLimitDuration = 8 * time.Second
+	customerCount    = 4
 	// maxDelay is the upper bound of the latency that a Delay fault adds.
 	maxDelay = 400 * time.Millisecond
 )
@@ -41,6 +42,10 @@
 	Steps    []Step
 	// Limits are the limits that backend servers name, each another one.
 	Limits []Limit
+	// Customers is the number of customers; zero means that requests need no key.
+	Customers int
+	// Revocations are those of keys, each of another customer.
+	Revocations []Revocation
 }
 
 // NewPlan generates the plan of the seed s for n daemons in c data centres, with
@@ -61,9 +66,19 @@
 	}
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	p.drawLimits(rand.New(rand.NewPCG(s, s+1)))
+	p.drawRevocations(rand.New(rand.NewPCG(s, s+2)))
 	return p
 }
 
+// drawRevocations draws revocations at half of the customers, in the first half of the plan,
+// so that their bound ends before it. They have a generator of their own, as limits do.
+func (p *Plan) drawRevocations(r *rand.Rand) {
+	p.Customers = customerCount
+	for _, i := range r.Perm(p.Customers)[:p.Customers/2] {
+		p.Revocations = append(p.Revocations, Revocation{At: time.Duration(r.Int64N(int64(p.Duration)/2 + 1)), Customer: i})
+	}
+}
+
 // drawLimits draws limits for up to half of the backend servers. They have a generator of
 // their own, so that the steps of recorded seeds stay the same.
 func (p *Plan) drawLimits(r *rand.Rand) {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -25,6 +25,12 @@
 				_, _ = fmt.Fprintln(&b, v)
 			}
 		}
+		if d.HasArg("revocations") {
+			b.Reset()
+			for _, v := range NewPlan(s, 4, 2, 2*time.Second).Revocations {
+				_, _ = fmt.Fprintln(&b, v)
+			}
+		}
 		return b.String()
 	})
 }
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -24,6 +24,8 @@
 	// DurationHeader sets the service time of the request, such as "150ms".
 	DurationHeader = "X-Standin-Duration"
 	keyHeader      = "Idempotency-Key"
+	// customerKeyHeader must not reach a backend server.
+	customerKeyHeader = "X-Customer-Key"
 )
 
 const (
@@ -311,9 +313,10 @@
 		return b, nil, s.coldFailure
 	}
 	r := &Run{
-		Request: lavenderridge.RequestID(q.Header.Get(backendhttp.RequestIDHeader)),
-		Key:     lavenderridge.IdempotencyKey(q.Header.Get(keyHeader)),
-		Path:    q.URL.Path, Boot: b.number, Begun: t, Exclusive: b.inFlight == 0, State: RunBegun,
+		Request:  lavenderridge.RequestID(q.Header.Get(backendhttp.RequestIDHeader)),
+		Key:      lavenderridge.IdempotencyKey(q.Header.Get(keyHeader)),
+		Customer: lavenderridge.CustomerID(q.Header.Get(backendhttp.CustomerHeader)), KeyShown: q.Header.Get(customerKeyHeader) != "",
+		Path: q.URL.Path, Boot: b.number, Begun: t, Exclusive: b.inFlight == 0, State: RunBegun,
 	}
 	b.inFlight++
 	s.peakInFlight = max(s.peakInFlight, b.inFlight)
