--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -150,24 +150,24 @@
 	})
 }
 
-// renewSnapshot returns the snapshot for another attempt of r, in place of s. If that has
-// another catalogue, it returns a refusal if the key of r has been taken away.
+// renewSnapshot returns the latest snapshot for another attempt of r, in place of s, or s if
+// the latest one lacks the service. It returns a refusal if the latest catalogue is another
+// one and r may not run under it, because its key has been taken away.
 func (h *RetryHandler) renewSnapshot(s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Snapshot, error) {
-	n := h.latestSnapshot(s, r.Service)
-	if n == s || n.Catalogue == s.Catalogue {
-		return n, nil
+	n := h.snapshots.Snapshot()
+	if n == nil || n == s {
+		return s, nil
 	}
-	if v := n.Entry(e.ID); v != nil {
-		e = v
+	if n.Catalogue != s.Catalogue {
+		if v := n.Entry(e.ID); v != nil {
+			e = v
+		}
+		if v := caller.Authenticate(n, e, r); v != nil {
+			return s, v
+		}
 	}
-	return n, caller.Authenticate(n, e, r)
-}
-
-// latestSnapshot returns the current snapshot, or s if the current one lacks the
-// service d.
-func (h *RetryHandler) latestSnapshot(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *lavenderridge.Snapshot {
-	if n := h.snapshots.Snapshot(); n != nil && n.Service(d) != nil {
-		return n
+	if n.Service(r.Service) == nil {
+		return s, nil
 	}
-	return s
+	return n, nil
 }
