--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -73,7 +73,9 @@
 		}
 		x.Instances = h.exclude(x.Instances, s, n, f)
 		x.Refusing = h.policy.Reroutes(f)
-		s = h.latestSnapshot(s, r.Service)
+		if s, v = h.renewSnapshot(s, e, r); v != nil {
+			return nil, a.Conclude(r, lavenderridge.AsRefusal(v))
+		}
 	}
 }
 
@@ -104,6 +106,10 @@
 			Reason: fmt.Sprintf("attempt %d at %s: status %d", a.Count(), n, p.Status), Versions: s.Versions(),
 		})
 		x.Instances = append(x.Instances, n)
+		var v error
+		if s, v = h.renewSnapshot(s, e, r); v != nil {
+			return p
+		}
 		q := *r
 		q.Attempt, q.NoRetry = a.Count()+1, true
 		i, w, o := h.next.Attempt(c, s, &q, x)
@@ -144,11 +150,24 @@
 	})
 }
 
-// latestSnapshot returns the current snapshot, or s if the current one lacks the
-// service d.
-func (h *RetryHandler) latestSnapshot(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *lavenderridge.Snapshot {
-	if n := h.snapshots.Snapshot(); n != nil && n.Service(d) != nil {
-		return n
+// renewSnapshot returns the latest snapshot for another attempt of r, in place of s, or s if
+// the latest one lacks the service. It returns a refusal if the latest catalogue is another
+// one and r may not run under it, because its key has been taken away.
+func (h *RetryHandler) renewSnapshot(s *lavenderridge.Snapshot, e *lavenderridge.Entry, r *lavenderridge.Request) (*lavenderridge.Snapshot, error) {
+	n := h.snapshots.Snapshot()
+	if n == nil || n == s {
+		return s, nil
+	}
+	if n.Catalogue != s.Catalogue {
+		if v := n.Entry(e.ID); v != nil {
+			e = v
+		}
+		if v := caller.Authenticate(n, e, r); v != nil {
+			return s, v
+		}
+	}
+	if n.Service(r.Service) == nil {
+		return s, nil
 	}
-	return s
+	return n, nil
 }
