--- a/exchange.go
+++ b/exchange.go
@@ -20,4 +20,7 @@
 	// ReadFor is for how long the sender asks the receiver to read the source in its
 	// place, because the source refuses the sender; zero means that it doesn't.
 	ReadFor time.Duration
+	// Proof is the sender's latest proof of its accepted catalogue. Only replies carry it:
+	// the delay of any other message is unknown.
+	Proof CatalogueProof
 }
--- a/freshness.go
+++ b/freshness.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// A Freshness reports how far the accepted catalogue may be behind the source.
+// A Freshness reports how far a catalogue may be behind the source.
 type Freshness interface {
-	// CatalogueAge returns a time that has passed at most since the accepted catalogue was
-	// the newest one of the source. It reports false if that has never been known.
-	CatalogueAge(t time.Time) (time.Duration, bool)
+	// CatalogueAge returns a bound on the time that has passed since no version later than
+	// v was at the source. It reports false if none is known.
+	CatalogueAge(v Version) (time.Duration, bool)
 }
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
@@ -47,6 +48,7 @@
 	maxColdSlack          = 1000.0
 	maxRatio              = 1.0 // retries per request
 	maxExtraRetries       = 100_000
+	maxRevokeWithin       = time.Hour
 )
 
 // Values of the setting Adapter.
@@ -115,6 +117,7 @@
 	s.readAddresses(r)
 	s.readLimits(r)
 	s.readPlatform(r)
+	s.readCustomers(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
 }
@@ -181,6 +184,11 @@
 	d.RetryExtra = r.integer("Retries.Extra", 0, 0, maxExtraRetries)
 }
 
+// readCustomers reads the settings that concern customers and their keys.
+func (s *Settings) readCustomers(r *reader) {
+	s.Daemon.RevokeWithin = r.duration("Customers.RevokeWithin", 0, configservice.MinRevokeWithin, maxRevokeWithin)
+}
+
 // readBodyMemory reads the memory for bodies. Its default is a share of the daemon's; a
 // value that is set must have room for the largest body.
 func (s *Settings) readBodyMemory(r *reader) {
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -55,12 +55,29 @@
 	t := d.clock.Now()
 	r, g, p := newRouting(d)
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler, caller.WithNotices(backendProtocol(d).Notice))
-	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f, d.recorder)
+	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, freshAttempter(d, f), d.recorder)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
-	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
+	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, freshnessHandler(d, l))
 	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
 }
 
+// freshnessHandler returns n, or a handler before it that refuses requests with a key while
+// the catalogue is too old.
+func freshnessHandler(d *Daemon, n caller.SnapshotHandler) caller.SnapshotHandler {
+	if d.configuration.freshness == nil {
+		return n
+	}
+	return caller.NewFreshnessHandler(d.configuration.freshness, n)
+}
+
+// freshAttempter returns n, or an attempter before it that does so for each attempt.
+func freshAttempter(d *Daemon, n caller.Attempter) caller.Attempter {
+	if d.configuration.freshness == nil {
+		return n
+	}
+	return caller.NewFreshAttempter(d.configuration.freshness, n)
+}
+
 // newShedder returns the load shedder for overloaded services, or nil if owners
 // take the capacity of their backend servers from the instance list.
 func newShedder(d *Daemon, t time.Time) *callerpolicy.Shedder {
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -63,6 +63,10 @@
 	// FleetSize is the number of daemons that are assumed to start concurrently
 	// while there is no instance list; zero means 500.
 	FleetSize int
+	// RevokeWithin is the time from which on after the source has acknowledged that a
+	// customer's key is taken away no new request with it runs, also on daemons without
+	// contact. Zero means that only the spreading of versions bounds it.
+	RevokeWithin time.Duration
 }
 
 // defaultFleetSize makes daemons spread their first reads of the source over one
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -29,8 +30,11 @@
 	neighbourhood *peerpolicy.Neighbourhood
 	reader        runner // reads the source
 	// follower is the reader of a platform's facts, or nil.
-	follower   *configservice.Follower
-	gossiper   *peer.Gossiper
+	follower *configservice.Follower
+	gossiper *peer.Gossiper
+	// proofs and freshness are nil if requests with a key need no fresh catalogue.
+	proofs     *configservice.ProofTracker
+	freshness  *configpolicy.FreshnessLimit
 	exchanger  peer.Exchanger
 	clock      lavenderridge.Clock
 	sourceOnly bool
@@ -48,6 +52,9 @@
 		clock:         d.clock,
 		sourceOnly:    d.sourceOnly,
 	}
+	if e := p.useProofs(d); e != nil {
+		return nil, e
+	}
 	a := configservice.NewAcceptor(p.store, confighttp.Parser{}, d.clock, d.recorder, d.log)
 	p.gossiper = newGossiper(d, p, a)
 	p.exchanger = p.gossiper
@@ -56,6 +63,27 @@
 	return p, e
 }
 
+// useProofs makes the daemon keep proofs of its catalogue if revocations must hold within
+// a time.
+func (p *configPart) useProofs(d *Daemon) error {
+	n := configpolicy.NewRevocationPlan(d.config.RevokeWithin)
+	if !n.Enabled() {
+		return nil
+	}
+	k := d.steadyClock
+	if k == nil {
+		v, e := NewSystemSteadyClock()
+		if e != nil {
+			return e
+		}
+		k = v
+	}
+	p.proofs = configservice.NewProofTracker(n, p.store, k)
+	p.freshness = configpolicy.NewFreshnessLimit(n, p.proofs)
+	metrics.NewRegisteredFunctionalGauge("CatalogueAgeMilliseconds", d.metrics, func() int64 { return p.proofs.Age().Milliseconds() })
+	return nil
+}
+
 // newSourceReader returns the reader of the source: a Reader of documents, or a
 // Follower of a platform's facts.
 func newSourceReader(c context.Context, d *Daemon, p *configPart, a *configservice.Acceptor) (runner, error) {
@@ -66,7 +94,7 @@
 		}
 		d.closeLater(s.Close)
 		p.follower = configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.metrics,
-			configservice.WithSubstitutes(p.gossiper.AskToRead))
+			configservice.WithSubstitutes(p.gossiper.AskToRead), configservice.WithFollowerProofs(p.proofs))
 		return p.follower, nil
 	}
 	s, e := confighttp.NewClient(c, d.config.ConfigService)
@@ -87,6 +115,7 @@
 		peer.WithCounters(d.metrics),
 		peer.WithLeaving(func() bool { return d.owner.leaving() }),
 		peer.WithSuspects(deferredSuspects{daemon: d}),
+		peer.WithProofs(p.proofs),
 		peer.WithReadRequests(func(t time.Duration) {
 			if p.follower != nil {
 				p.follower.ReadFor(t)
@@ -100,6 +129,7 @@
 		configservice.WithLogger(d.log),
 		configservice.WithLastPeerMessage(p.neighbourhood.LastMessage),
 		configservice.WithFleetSize(d.config.fleetSize()),
+		configservice.WithReaderProofs(p.proofs),
 	}
 	if d.sourceOnly {
 		o = append(o, configservice.WithEveryDaemonReading())
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -21,9 +21,11 @@
 // A Daemon routes the requests of callers and controls access to the one backend
 // server that it runs beside.
 type Daemon struct {
-	config      Config
-	log         *zap.Logger
-	clock       lavenderridge.Clock
+	config Config
+	log    *zap.Logger
+	clock  lavenderridge.Clock
+	// steadyClock is nil unless WithSteadyClock is used.
+	steadyClock lavenderridge.SteadyClock
 	incarnation lavenderridge.Incarnation
 	recorder    lavenderridge.Recorder
 	observer    lavenderridge.Observer
--- a/internal/daemon/assembly/option.go
+++ b/internal/daemon/assembly/option.go
@@ -19,6 +19,12 @@
 	return func(d *Daemon) { d.clock = k }
 }
 
+// WithSteadyClock makes the daemon use the clock k for the age of the catalogue; the
+// default is the system's clock.
+func WithSteadyClock(k lavenderridge.SteadyClock) Option {
+	return func(d *Daemon) { d.steadyClock = k }
+}
+
 // WithSourceOnly makes the daemon watch the source itself and disables gossip with
 // other daemons. Measurements use it as a baseline.
 func WithSourceOnly() Option {
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -31,6 +31,9 @@
 		backendserver.WithRecorder(d.recorder),
 		backendserver.WithReadiness(d.configuration),
 	}
+	if d.configuration.freshness != nil {
+		o = append(o, backendserver.WithFreshness(d.configuration.freshness))
+	}
 	if d.adapter != nil {
 		o = append(o, backendserver.WithListedCapacity(d.config.ColdFactor, d.config.ColdSlack, d.config.LinkRate))
 	}
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
@@ -39,6 +40,8 @@
 	recorder       lavenderridge.Recorder
 	readiness      lavenderridge.Readiness
 	limiterOptions []backendserver.LimiterOption
+	// freshness is nil unless WithFreshness is used.
+	freshness *configservice.FreshnessLimit
 
 	limiter   *backendserver.Limiter
 	admission *backendserver.Admission
@@ -225,6 +228,19 @@
 	return h.listed.service(s, v, n), n.Backend, nil
 }
 
+// checkFresh returns a refusal if r has a key and the catalogue has become too old to show
+// that it is still valid, for example while the machine was suspended and r waited.
+func (h *OwnerHandler) checkFresh(r *lavenderridge.Request) error {
+	s := h.snapshots.Snapshot()
+	if h.freshness == nil || s == nil {
+		return nil
+	}
+	if e := h.freshness.Check(r, s.Versions().Catalogue); e != nil {
+		return h.withPlace(e)
+	}
+	return nil
+}
+
 // checkEligible returns a refusal if this instance is not eligible under the
 // snapshot s: it is not listed, is leaving, or it or its data centre is out of
 // service. When the instance becomes eligible again, the ramp restarts.
@@ -276,6 +292,9 @@
 	if e != nil {
 		return nil, e
 	}
+	if e := h.checkFresh(r); e != nil {
+		return nil, e
+	}
 	if e := h.enterColdStart(v, r, b); e != nil {
 		return nil, e
 	}
--- a/internal/daemon/backendserver/owneroption.go
+++ b/internal/daemon/backendserver/owneroption.go
@@ -5,6 +5,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 )
 
 // An OwnerOption configures an OwnerHandler.
@@ -25,6 +26,11 @@
 	return func(h *OwnerHandler) { h.readiness = r }
 }
 
+// WithFreshness makes the handler send no request to the backend server that l refuses.
+func WithFreshness(l *configservice.FreshnessLimit) OwnerOption {
+	return func(h *OwnerHandler) { h.freshness = l }
+}
+
 // WithLimiterOptions passes o to the handler's limiter.
 func WithLimiterOptions(o ...backendserver.LimiterOption) OwnerOption {
 	return func(h *OwnerHandler) { h.limiterOptions = o }
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -53,6 +53,14 @@
 	// readUntil is when the daemon stops reading in place of a reader, in nanoseconds
 	// since the Unix epoch.
 	readUntil atomic.Int64
+	// proofs is nil unless WithFollowerProofs is used.
+	proofs *ProofTracker
+}
+
+// WithFollowerProofs makes a follower record in t which versions the source's responses
+// prove to be the latest ones, and read as often as t's plan requires.
+func WithFollowerProofs(t *ProofTracker) func(*Follower) {
+	return func(f *Follower) { f.proofs = t }
 }
 
 // WithSubstitutes makes a follower that is a reader and that the source refuses ask
@@ -128,7 +136,7 @@
 	if h.Before(f.started) {
 		h = f.started
 	}
-	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t)}
+	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t), Revocation: f.proofs.Plan(), CatalogueAge: f.proofs.Age()}
 	v := f.store.Stamps()
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0
 	if l := f.store.InstanceList(); l != nil {
@@ -164,11 +172,14 @@
 // readSource makes one complete listing or one watch that waits for w, and offers
 // the documents that result.
 func (f *Follower) readSource(c context.Context, w time.Duration) error {
-	b := f.gate.Epoch()
+	b, u := f.gate.Epoch(), f.proofs.BeginCall()
 	if e := f.readChanges(c, w); e != nil {
 		return e
 	}
 	f.publish()
+	if p := f.mirror.Catalogue(); p != nil {
+		f.proofs.SourceResponded(p.Version, u)
+	}
 	t := f.clock.Now()
 	f.contact.SourceResponded(t)
 	if s := f.store.Snapshot(); s != nil {
--- a/internal/daemon/configservice/reader.go
+++ b/internal/daemon/configservice/reader.go
@@ -35,6 +35,8 @@
 	// alwaysRead makes the daemon watch even if it is not a reader of its data
 	// centre.
 	alwaysRead bool
+	// proofs is nil unless WithReaderProofs is used.
+	proofs *ProofTracker
 }
 
 // NewReader returns a reader of the source s for the daemon of the instance n
@@ -75,6 +77,12 @@
 	return func(r *Reader) { r.alwaysRead = true }
 }
 
+// WithReaderProofs makes a reader record in t which versions the source's responses prove
+// to be the latest ones, and read as often as t's plan requires.
+func WithReaderProofs(t *ProofTracker) func(*Reader) {
+	return func(r *Reader) { r.proofs = t }
+}
+
 // Run reads the instance list if there is none, and then watches both documents
 // concurrently until c ends.
 func (r *Reader) Run(c context.Context) error {
@@ -139,6 +147,9 @@
 		HasInstanceList: true, HasVersion: r.store.Acceptance(d).Stamp.Version > 0, IsReader: r.alwaysRead,
 		PeerAge: t.Sub(h), SourceAge: r.contact.Age(t), Failures: f,
 	}
+	if d == lavenderridge.DocumentCatalogue {
+		s.Revocation, s.CatalogueAge = r.proofs.Plan(), r.proofs.Age()
+	}
 	if l := r.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
 		s.IsReader = s.IsReader || slices.Contains(configservice.Readers(l, r.store.Catalogue(), r.dataCentre), r.instance)
@@ -149,7 +160,7 @@
 // read makes one call for a version of d newer than v and returns the version
 // received, or zero if there is none.
 func (r *Reader) read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (lavenderridge.Version, error) {
-	b := r.gate.Epoch()
+	b, u := r.gate.Epoch(), r.proofs.BeginCall()
 	p, e := r.source.Read(c, d, v, w)
 	if e != nil {
 		if c.Err() == nil {
@@ -164,6 +175,9 @@
 		r.acceptor.OfferPublished(p)
 		n = p.Version
 	}
+	if d == lavenderridge.DocumentCatalogue {
+		r.proofs.SourceResponded(max(v, n), u)
+	}
 	if s := r.store.Snapshot(); b > 1 && s != nil {
 		r.gate.Open(b, s.Versions(), t)
 	}
--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -43,6 +43,16 @@
 	// cuts are the links that carry no calls, by linkKey.
 	cuts       map[[2]int]bool
 	sourceDown bool
+	// oneWay are the directions, from one node to another, that carry nothing.
+	oneWay map[[2]int]bool
+	// sourceSlow is the time until the source reads what it responds, and sourceLate the
+	// time that the response then takes. The share sourceLoss of the responses is lost.
+	sourceSlow, sourceLate time.Duration
+	sourceLoss             float64
+	// catalogueReads counts the calls of each node for the catalogue.
+	catalogueReads map[lavenderridge.InstanceID]int
+	// revocation is the plan by which the daemons keep proofs of their catalogue.
+	revocation configservice.RevocationPlan
 	// published holds the text of every version of a document, and good whether it is
 	// valid.
 	published map[lavenderridge.DocumentName][][]byte
@@ -93,11 +103,13 @@
 	reachableAtStart lavenderridge.Versions
 	faultsAtStart    int
 	hasBeenReady     bool
+	// proofs is nil without a revocation plan.
+	proofs *daemonconfig.ProofTracker
 }
 
 func newFleet(n, dataCentres int, seed uint64) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{}, latency: fastLink, pullDelays: map[lavenderridge.DocumentName]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]int]bool{}, oneWay: map[[2]int]bool{}, catalogueReads: map[lavenderridge.InstanceID]int{}, latency: fastLink, pullDelays: map[lavenderridge.DocumentName]time.Duration{},
 		published: map[lavenderridge.DocumentName][][]byte{}, good: map[lavenderridge.DocumentName][]bool{},
 	}
 	for i := range n {
@@ -215,6 +227,36 @@
 
 // Read implements lavenderridge.ConfigService.
 func (n *node) Read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (*lavenderridge.Document, error) {
+	slow, late, lost := n.fleet.drawSourceFault()
+	n.countRead(d)
+	time.Sleep(slow)
+	p, e := n.readSource(c, d, v, w)
+	time.Sleep(late)
+	n.waitWhilePaused()
+	if lost {
+		return nil, errors.New("response lost")
+	}
+	return p, e
+}
+
+// countRead counts a call for the document d.
+func (n *node) countRead(d lavenderridge.DocumentName) {
+	n.fleet.mutex.Lock()
+	defer n.fleet.mutex.Unlock()
+	if d == lavenderridge.DocumentCatalogue {
+		n.fleet.catalogueReads[n.self.ID]++
+	}
+}
+
+// drawSourceFault returns the delays of a response of the source, and whether it is lost.
+func (f *fleet) drawSourceFault() (slow, late time.Duration, lost bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.sourceSlow, f.sourceLate, f.random.Float64() < f.sourceLoss
+}
+
+// readSource reads the source until it has a version of d newer than v, but at most for w.
+func (n *node) readSource(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (*lavenderridge.Document, error) {
 	for t := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 		time.Sleep(fastLink)
 		n.waitWhilePaused()
@@ -255,8 +297,11 @@
 	p.gate, p.neighbourhood = configservice.NewReadinessGate(t), peerpolicy.NewNeighbourhood(n.self.ID, n.self.DataCentre)
 	s := configservice.NewSourceContact(t)
 	a := daemonconfig.NewAcceptor(p.store, confighttp.Parser{}, n, p, testLogger)
-	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p))
-	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithLastPeerMessage(p.neighbourhood.LastMessage), daemonconfig.WithFleetSize(500))
+	if n.fleet.revocation.Enabled() {
+		p.proofs = daemonconfig.NewProofTracker(n.fleet.revocation, p.store, steadyClock{})
+	}
+	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p), peer.WithProofs(p.proofs))
+	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithLastPeerMessage(p.neighbourhood.LastMessage), daemonconfig.WithFleetSize(500), daemonconfig.WithReaderProofs(p.proofs))
 	n.fleet.mutex.Lock()
 	p.reachableAtStart, p.faultsAtStart = n.fleet.versionsInReach(n), n.fleet.faults
 	n.proc = p
@@ -419,7 +464,8 @@
 	time.Sleep(latency)
 	r.from.waitWhilePaused()
 	r.from.fleet.mutex.Lock()
-	cut := r.from.fleet.cuts[linkKey(r.from.index, r.to.index)]
+	cut := r.from.fleet.cuts[linkKey(r.from.index, r.to.index)] || r.from.fleet.oneWay[[2]int{r.from.index, r.to.index}]
+	cutBack := r.from.fleet.oneWay[[2]int{r.to.index, r.from.index}]
 	r.from.fleet.mutex.Unlock()
 	if cut || k == faultRequest {
 		time.Sleep(lost)
@@ -439,7 +485,7 @@
 	if k == faultTwice {
 		v, _ = f(p)
 	}
-	if k == faultReply {
+	if k == faultReply || cutBack {
 		time.Sleep(lost)
 	}
 	time.Sleep(latency)
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -42,6 +42,7 @@
 	CounterGate        = "Control.Gate"
 	CounterLeaving     = "Control.Leaving"
 	CounterPullDelta   = "Control.PullDelta"
+	CounterProof       = "Control.Proof"
 	CounterPullWhole   = "Control.PullWhole"
 	CounterReadRequest = "Control.ReadRequest"
 )
@@ -67,8 +68,10 @@
 	recorder      lavenderridge.Recorder
 	counters      metrics.Registry
 
-	pullers          []*puller
-	pullLimiter      *peer.PullLimiter
+	pullers     []*puller
+	pullLimiter *peer.PullLimiter
+	// proofs is nil unless WithProofs is used.
+	proofs           *daemonconfig.ProofTracker
 	leavingAnnounced atomic.Bool
 	// startedAlone is true if no neighbour replied at the start.
 	startedAlone atomic.Bool
@@ -130,7 +133,7 @@
 func WithCounters(r metrics.Registry) func(*Gossiper) {
 	return func(s *Gossiper) {
 		s.counters = r
-		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
+		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterProof, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
 			metrics.GetOrRegisterCounter(n, r)
 		}
 	}
@@ -147,6 +150,7 @@
 	}
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.heartbeatLoop(c) })
+	g.Go(func() error { return s.proofLoop(c) })
 	e := g.Wait()
 	s.announceLeaving(context.WithoutCancel(c))
 	return e
@@ -209,7 +213,7 @@
 // newExchange returns the message that announces this daemon's state.
 func (s *Gossiper) newExchange() *lavenderridge.Exchange {
 	t := s.clock.Now()
-	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t)}
+	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t), Proof: s.proofs.Proof()}
 	if s.suspects != nil {
 		q.Suspects = s.suspects.Suspects(t)
 	}
@@ -306,7 +310,7 @@
 	c, f := context.WithTimeout(c, exchangeTimeout)
 	defer f()
 	s.count(n)
-	b := s.gate.Epoch()
+	b, u := s.gate.Epoch(), s.proofs.BeginCall()
 	q, e := s.dialer.Dial(v).Exchange(c, x)
 	if e != nil {
 		if p.Err() == nil {
@@ -314,6 +318,7 @@
 		}
 		return nil, e
 	}
+	s.proofs.PeerReplied(q.Proof, u)
 	s.merge(q, false)
 	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -157,7 +157,7 @@
 	case lavenderridge.ReasonNotReady, lavenderridge.ReasonWrongTarget, lavenderridge.ReasonStopping,
 		lavenderridge.ReasonLeaving, lavenderridge.ReasonOutOfService, lavenderridge.ReasonOverloaded, lavenderridge.ReasonBackendLimit,
 		lavenderridge.ReasonUnreachable, lavenderridge.ReasonConnectionLost, lavenderridge.ReasonBadResponse,
-		lavenderridge.ReasonNotHome, lavenderridge.ReasonNotActive:
+		lavenderridge.ReasonNotHome, lavenderridge.ReasonNotActive, lavenderridge.ReasonStaleCatalogue:
 		return true
 	}
 	return false
--- a/internal/policy/configservice/followscheduler.go
+++ b/internal/policy/configservice/followscheduler.go
@@ -47,12 +47,15 @@
 		return ReadPlan{Delay: scale(w, r)}
 	}
 	if s.IsReader {
-		p := ReadPlan{Delay: followWatchPause, Wait: scale(followWatchWait, (1+r)/2)}
+		p := ReadPlan{Delay: followWatchPause, Wait: scale(s.Revocation.watchWait(followWatchWait), (1+r)/2)}
 		if s.Failures > 1 {
 			p.Delay = scale(min(followBackoffBase<<min(s.Failures, maxDoublings), minReadInterval), (1+r)/2)
 		}
 		return p
 	}
+	if w, o := s.Revocation.readWindow(s); o {
+		return ReadPlan{Delay: scale(w, r)}
+	}
 	if s.HasVersion && s.PeerAge < followMaxPeerAge && s.SourceAge < followMaxSourceAge {
 		return ReadPlan{Skip: true, Delay: followSkipInterval}
 	}
--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -70,7 +70,10 @@
 // list. The random number r in [0, 1) spreads the reads of the fleet.
 func PlanRead(s ReadState, r float64) ReadPlan {
 	if s.IsReader {
-		return ReadPlan{Delay: backoff(s.Failures, r), Wait: scale(watchWait, (1+r)/2)}
+		return ReadPlan{Delay: backoff(s.Failures, r), Wait: scale(s.Revocation.watchWait(watchWait), (1+r)/2)}
+	}
+	if w, o := s.Revocation.readWindow(s); o && s.HasVersion {
+		return ReadPlan{Delay: scale(w, r)}
 	}
 	if s.HasVersion && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge {
 		return ReadPlan{Skip: true}
@@ -85,8 +88,14 @@
 // meanReadInterval returns the mean time between two reads of one document by
 // one daemon at which a fleet of f daemons stays within maxFleetRate.
 func meanReadInterval(f int) time.Duration {
+	return max(minReadInterval, fleetInterval(f))
+}
+
+// fleetInterval returns the time between two reads of one document by one daemon at which
+// a fleet of f daemons uses all of maxFleetRate.
+func fleetInterval(f int) time.Duration {
 	s := float64(f) * documentCount / float64(maxFleetRate)
-	return max(minReadInterval, time.Duration(s*float64(time.Second)))
+	return time.Duration(s * float64(time.Second))
 }
 
 // jitterWindow returns the longest random delay of a read whose mean interval is
--- a/internal/policy/configservice/readstate.go
+++ b/internal/policy/configservice/readstate.go
@@ -22,4 +22,8 @@
 	SourceAge time.Duration
 	// Failures is the number of consecutive failed calls.
 	Failures int
+	// Revocation is the plan for proofs of the catalogue, and CatalogueAge the age of the
+	// accepted one, or the daemon's whole time if there is no proof.
+	Revocation   RevocationPlan
+	CatalogueAge time.Duration
 }
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -20,6 +20,10 @@
 	// readField is the header field with the time for which the sender of an exchange asks
 	// the receiver to read the source. Daemons of earlier versions ignore it.
 	readField = "Lavenderridge-Read-For"
+	// proofField is the header field of the reply to an exchange with the sender's proof of
+	// its catalogue: the version and the age in milliseconds, rounded up. Daemons of
+	// earlier versions neither send nor read it.
+	proofField = "Lavenderridge-Catalogue-Proof"
 	// minFramedBody is the size from which a body follows its message. A smaller one is
 	// a part of it, which copies the body, but earlier versions understand.
 	minFramedBody = 64 * lavenderridge.Kibibyte
@@ -40,6 +44,8 @@
 	heard string
 	// readFor is the time in readField.
 	readFor time.Duration
+	// proof is the text of proofField.
+	proof string
 }
 
 // size returns the size in bytes on the wire.
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -49,12 +49,12 @@
 		f.body, w.Body = r.Body, nil
 	}
 	var v wireResponse
-	b, e := l.callFramed(c, kindHandle, w, &v, f)
+	p, e := l.callFramed(c, kindHandle, w, &v, f)
 	if e != nil {
 		return nil, e
 	}
-	if len(b) > 0 {
-		v.Body = b
+	if len(p.body) > 0 {
+		v.Body = p.body
 	}
 	return v.response(l.instance), nil
 }
@@ -62,9 +62,11 @@
 // Exchange implements lavenderridge.Peer.
 func (l *link) Exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	var v lavenderridge.Exchange
-	if _, e := l.callFramed(c, kindExchange, q, &v, &frame{readFor: q.ReadFor}); e != nil {
+	p, e := l.callFramed(c, kindExchange, q, &v, &frame{readFor: q.ReadFor})
+	if e != nil {
 		return nil, e
 	}
+	v.Proof = decodeProof(p.proof)
 	return &v, nil
 }
 
@@ -100,9 +102,9 @@
 	return e
 }
 
-// callFramed is like call, with what f has beside the message. It returns the body that
-// follows the reply.
-func (l *link) callFramed(c context.Context, k kind, q, v any, f *frame) ([]byte, error) {
+// callFramed is like call, with what f has beside the message. It returns the reply with
+// what travels beside its message.
+func (l *link) callFramed(c context.Context, k kind, q, v any, f *frame) (*frame, error) {
 	b, e := encode(byte(k), q)
 	if e != nil {
 		return nil, l.refusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonInternal, e)
@@ -121,7 +123,7 @@
 		return nil, l.refusal(lavenderridge.OutcomeNotRun, contextReason(c, lavenderridge.ReasonUnreachable), e)
 	}
 	l.transport.traffic.countCall(k, f.size(), p.size())
-	return p.body, l.decodeReply(p.message, v)
+	return p, l.decodeReply(p.message, v)
 }
 
 // send sends the call f of kind k and returns the reply. If that fails, the second
@@ -186,7 +188,11 @@
 			return nil, errors.Join(errResponseMemory, e)
 		}
 	}
-	return receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage)
+	f, e := receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage)
+	if e == nil && k == kindExchange {
+		f.proof = p.Header.Get(proofField)
+	}
+	return f, e
 }
 
 func (l *link) beginCall() {
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -159,6 +159,9 @@
 func writeReply(w http.ResponseWriter, f *frame) {
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
+	if f.proof != "" {
+		w.Header().Set(proofField, f.proof)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(f.size()))
 	if len(f.body) > 0 {
 		w.Header().Set(bodyField, strconv.Itoa(len(f.body)))
@@ -184,6 +187,9 @@
 			p.body, w.Body = w.Body, nil
 		}
 	}
+	if x, k := v.(*lavenderridge.Exchange); k {
+		p.proof = encodeProof(x.Proof)
+	}
 	p.message, e = encode(byte(statusReply), v)
 	return p, n, e
 }
