Refuse requests with a key while the catalogue may lack its revocation

Entry, attempts and owner check the age of the catalogue on a clock that counts suspensions; readers of the source prove it, and the other daemons ask them. Dormant without Customers.RevokeWithin.

--- a/internal/cmd/lavenderridge/statuscmd.go
+++ b/internal/cmd/lavenderridge/statuscmd.go
@@ -52,6 +52,7 @@
 	for _, v := range a {
 		printRejections(s.out, &v.Value)
 		printHomeWaiting(s.out, &v.Value)
+		printStaleCatalogue(s.out, &v.Value)
 	}
 	return x
 }
@@ -79,6 +80,15 @@
 	}
 }
 
+// printStaleCatalogue prints that the daemon refuses requests with a customer's key, if its
+// catalogue is too old.
+func printStaleCatalogue(w io.Writer, s *operatorhttp.Status) {
+	if s.MaxCatalogueAge > 0 && s.CatalogueAge >= s.MaxCatalogueAge {
+		_, _ = fmt.Fprintf(w, "\n%s: refuses requests with customers' keys: catalogue %d was last known to be the latest one %s ago; the bound is %s\n",
+			s.Instance, s.Versions.Catalogue, s.CatalogueAge.Round(time.Millisecond), s.MaxCatalogueAge)
+	}
+}
+
 // printStatus writes the row of one daemon to the table w.
 func printStatus(w io.Writer, s *operatorhttp.Status) {
 	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%s\t%d/%d\t%s\t%s\n",
--- a/internal/cmd/settings/settings_test.go
+++ b/internal/cmd/settings/settings_test.go
@@ -48,3 +48,23 @@
 		}
 	})
 }
+
+// TestRevokeWithin guards against a time within which daemons can't keep their catalogues
+// fresh, so that they would refuse requests in calm.
+func TestRevokeWithin(t *testing.T) {
+	for v, o := range map[string]bool{"5000ms": true, "2s": true, "1999ms": false, "0s": false, "2h": false, "five": false} {
+		_, a := settings.Parse("f.toml", []byte(complete+"[Customers]\nRevokeWithin = \""+v+"\"\n"))
+		if (len(a) == 0) != o {
+			t.Errorf("%s: findings %v", v, a)
+		}
+		for _, f := range a {
+			if !strings.Contains(f.Message, `"2s"`) {
+				t.Errorf("%s: %s; want the bounds", v, f)
+			}
+		}
+	}
+	// The platform's template leaves the table empty if nothing bounds revocations.
+	if s, a := settings.Parse("f.toml", []byte(complete+"[Customers]\n")); len(a) > 0 || s.Daemon.RevokeWithin != 0 {
+		t.Errorf("empty table: %v", a)
+	}
+}
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -169,6 +169,7 @@
 	s.Rejections = p.store.Rejections()
 	s.SourceAge = p.contact.Age(t)
 	s.OwnSourceAge = p.contact.OwnAge(t)
+	s.CatalogueAge, s.MaxCatalogueAge = p.proofs.Age(), p.proofs.Plan().MaxAge()
 	s.StartedAlone = p.gossiper.StartedAlone()
 	s.Neighbours = p.neighbourhood.Neighbours(t)
 }
--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
 	policy "github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 )
 
 const (
@@ -38,6 +39,16 @@
 	shown     map[lavenderridge.RequestID]string
 	owner     *backendserver.OwnerHandler
 	run       lavenderridge.BackendID // the listed run of the backend server
+	// customer is that of the requests, and catalogueAge the age of the catalogue.
+	customer     lavenderridge.CustomerID
+	catalogueAge time.Duration
+}
+
+// CatalogueAge implements lavenderridge.Freshness.
+func (s *session) CatalogueAge(lavenderridge.Version) (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.catalogueAge, true
 }
 
 func (s *session) Now() time.Time {
@@ -105,7 +116,7 @@
 }
 
 func (s *session) send(id, path string, k lavenderridge.Class, deadline time.Duration) {
-	r := &lavenderridge.Request{ID: lavenderridge.RequestID(id), Target: "a", Service: "billing", Backend: s.run, Class: k, Method: "POST", Path: path, Deadline: s.Now().Add(deadline)}
+	r := &lavenderridge.Request{ID: lavenderridge.RequestID(id), Target: "a", Service: "billing", Backend: s.run, Class: k, Method: "POST", Path: path, Customer: s.customer, Deadline: s.Now().Add(deadline)}
 	s.mutex.Lock()
 	s.sent++
 	delete(s.shown, r.ID)
@@ -249,12 +260,22 @@
 			o = append(o, policy.WithFixedLimit())
 		}
 		s.owner = backendserver.NewOwnerHandler(s, func() lavenderridge.Sender { return lavenderridge.Sender{Instance: "a"} }, s,
-			backendserver.WithClock(s), backendserver.WithRecorder(s), backendserver.WithLimiterOptions(o...), backendserver.WithExclusiveWait(0))
+			backendserver.WithClock(s), backendserver.WithRecorder(s), backendserver.WithLimiterOptions(o...), backendserver.WithExclusiveWait(0),
+			backendserver.WithFreshness(configservice.NewFreshnessLimit(configservice.NewRevocationPlan(5*time.Second), s)))
 		s.owner.Check(context.Background())
 	case "publish":
 		s.publish(d, *s.Snapshot().Service("billing"))
 		s.owner.Check(context.Background())
+	case "age":
+		n := 0
+		d.ScanArgs(t, "ms", &n)
+		s.mutex.Lock()
+		s.catalogueAge = time.Duration(n) * time.Millisecond
+		s.mutex.Unlock()
+		return "ok\n"
 	case "send":
+		s.customer = ""
+		d.MaybeScanArgs(t, "customer", (*string)(&s.customer))
 		k, n, x := lavenderridge.ClassNormal, 1000, ""
 		if d.MaybeScanArgs(t, "class", &x); x != "" {
 			k, _ = lavenderridge.ParseClass(x)
--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -15,6 +15,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/caller"
 	callerpolicy "github.com/lavenderridge/lavenderridge/internal/policy/caller"
+	configpolicy "github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	peerpolicy "github.com/lavenderridge/lavenderridge/internal/policy/peer"
 )
 
@@ -28,9 +29,11 @@
 	catalogue lavenderridge.Catalogue
 	list      lavenderridge.InstanceList
 	notReady  bool
-	scripts   map[lavenderridge.InstanceID]string
-	attempts  []string
-	observed  lavenderridge.Observation
+	// catalogueAge is the age of the catalogue; it is negative if there is no proof of it.
+	catalogueAge time.Duration
+	scripts      map[lavenderridge.InstanceID]string
+	attempts     []string
+	observed     lavenderridge.Observation
 	// unscripted makes every target respond with 200, without a record of the attempts.
 	unscripted bool
 	handler    lavenderridge.Handler
@@ -44,14 +47,20 @@
 	f := caller.NewForwardHandler(r, r, peerpolicy.NewHomeRouter(), s, s, self, target{s, "a"}, caller.WithNotices(func(h lavenderridge.Header) lavenderridge.Notice {
 		return lavenderridge.NewNotice(h["Limit"], h["Leaving"])
 	}))
-	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, f, s))
-	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewObserveHandler(s, s, "dc-0", l))
+	x := configpolicy.NewFreshnessLimit(configpolicy.NewRevocationPlan(5*time.Second), s)
+	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(s.now, 0), callerpolicy.NewShedder(s.now, func() float64 { return 0.5 }), s, caller.NewRetryHandler(p, s, s, caller.NewFreshAttempter(x, f), s))
+	s.handler = caller.NewEntryHandler(s, s, s, "a", caller.NewObserveHandler(s, s, "dc-0", caller.NewFreshnessHandler(x, l)))
 	return s
 }
 
 func (s *session) Now() time.Time                    { return s.now }
 func (s *session) Snapshot() *lavenderridge.Snapshot { return s.snapshot }
 
+// CatalogueAge implements lavenderridge.Freshness.
+func (s *session) CatalogueAge(lavenderridge.Version) (time.Duration, bool) {
+	return s.catalogueAge, s.catalogueAge >= 0
+}
+
 func (s *session) Record(lavenderridge.Decision) {}
 
 func (s *session) Observe(o lavenderridge.Observation) { s.observed = o }
@@ -83,6 +92,8 @@
 // "newer-catalogue", with the refusal of an owner whose data centre has been taken out
 // of service by a catalogue that this daemon accepts during the attempt.
 //
+// "suspended" is a refusal before which the machine of this daemon is suspended for 6 s.
+//
 // "named:<limit>" and "leaving" are responses with a notice of the backend server, and
 // "full:<limit>:<time>" is the refusal of an owner whose backend server has room after
 // that time.
@@ -109,6 +120,10 @@
 		l += fmt.Sprintf(", told of %g a second %s ago", r.Heard.Limit, r.Heard.Age)
 	}
 	s.attempts = append(s.attempts, l)
+	if a == "suspended" {
+		s.catalogueAge += 6 * time.Second
+		a = "target:NotRun:NotReady"
+	}
 	if a == "newer-catalogue" {
 		s.takeOutOfService(s.snapshot.Instance(n.instance).DataCentre)
 		a = "target:NotRun:OutOfService"
@@ -199,6 +214,12 @@
 			d.Fatalf(t, "%v", e)
 		}
 		s.now = s.now.Add(v)
+	case "catalogue-age":
+		v, e := time.ParseDuration(d.CmdArgs[0].Key)
+		if e != nil {
+			d.Fatalf(t, "%v", e)
+		}
+		s.catalogueAge = v
 	case "ready":
 		s.notReady = d.HasArg("no")
 	case "request":
@@ -234,6 +255,9 @@
 	if d.MaybeScanArgs(t, "key", &k) {
 		r.Key = lavenderridge.IdempotencyKey(k)
 	}
+	if d.MaybeScanArgs(t, "customer", &k) {
+		r.Customer = lavenderridge.CustomerID(k)
+	}
 	var b strings.Builder
 	for range n {
 		s.attempts, s.observed = nil, lavenderridge.Observation{}
--- a/internal/daemon/configservice/prooftracker.go
+++ b/internal/daemon/configservice/prooftracker.go
@@ -43,9 +43,10 @@
 }
 
 // SourceResponded records that a linearizable response of the source showed no catalogue
-// later than v. The call began at the time b.
+// later than v. The call began at the time b. A source that lacks the accepted version has
+// lost it, or responds late; that proves nothing.
 func (p *ProofTracker) SourceResponded(v lavenderridge.Version, b time.Duration) {
-	if p != nil {
+	if p != nil && v >= p.version() {
 		p.proofs.Add(v, b)
 	}
 }
--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -51,6 +51,8 @@
 	sourceLoss             float64
 	// catalogueReads counts the calls of each node for the catalogue.
 	catalogueReads map[lavenderridge.InstanceID]int
+	// stoppingClock makes the nodes' clocks stop while they are paused.
+	stoppingClock bool
 	// revocation is the plan by which the daemons keep proofs of their catalogue.
 	revocation configservice.RevocationPlan
 	// published holds the text of every version of a document, and good whether it is
@@ -80,6 +82,8 @@
 	// pullDelays are the times that replies to the node's pulls take to arrive, by the
 	// index of the other node.
 	pullDelays map[int]time.Duration
+	// suspended is how long the pauses that have ended lasted.
+	suspended time.Duration
 	// resumed is closed at the end of the present pause; it is nil if there is none.
 	resumed chan struct{}
 	// proc is nil while the daemon is down.
@@ -298,7 +302,7 @@
 	s := configservice.NewSourceContact(t)
 	a := daemonconfig.NewAcceptor(p.store, confighttp.Parser{}, n, p, testLogger)
 	if n.fleet.revocation.Enabled() {
-		p.proofs = daemonconfig.NewProofTracker(n.fleet.revocation, p.store, steadyClock{})
+		p.proofs = daemonconfig.NewProofTracker(n.fleet.revocation, p.store, steadyClock{n})
 	}
 	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p), peer.WithProofs(p.proofs))
 	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithLastPeerMessage(p.neighbourhood.LastMessage), daemonconfig.WithFleetSize(500), daemonconfig.WithReaderProofs(p.proofs))
@@ -340,6 +344,7 @@
 	}
 	close(n.resumed)
 	n.resumed = nil
+	n.suspended += time.Since(n.pausedAt)
 	return time.Since(n.pausedAt)
 }
 
--- a/internal/daemon/peer/gossiperproofs.go
+++ b/internal/daemon/peer/gossiperproofs.go
@@ -26,11 +26,11 @@
 	}
 	v := s.self()
 	a := configservice.NewProofSources(v.Instance, v.DataCentre)
-	stale := false
+	w := false // whether the catalogue was too old
 	for lavenderridge.Sleep(c, p.AskInterval(rand.Float64())) == nil {
 		s.askForProof(c, a)
-		if o := s.proofs.Age() >= p.MaxAge(); o != stale {
-			stale = o
+		if o := s.proofs.Age() >= p.MaxAge(); o != w {
+			w = o
 			s.logStale(o)
 		}
 	}
--- a/internal/daemon/peer/revocation_test.go
+++ b/internal/daemon/peer/revocation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,10 +25,21 @@
 var bubbleStart = time.Unix(0, 0)
 
 // steadyClock is a stand-in that goes on during the pauses of a node, as the clock of a
-// machine does that counts the time in which it is suspended.
-type steadyClock struct{}
+// machine does that counts the time in which it is suspended, unless the fleet's clocks
+// stop.
+type steadyClock struct{ node *node }
 
-func (steadyClock) Elapsed() time.Duration { return time.Since(bubbleStart) }
+func (k steadyClock) Elapsed() time.Duration {
+	k.node.fleet.mutex.Lock()
+	defer k.node.fleet.mutex.Unlock()
+	switch {
+	case !k.node.fleet.stoppingClock:
+		return time.Since(bubbleStart)
+	case k.node.resumed != nil:
+		return k.node.pausedAt.Sub(bubbleStart) - k.node.suspended
+	}
+	return time.Since(bubbleStart) - k.node.suspended
+}
 
 // keyed is a request with a key that every catalogue takes away and replaces.
 var keyed = &lavenderridge.Request{CustomerKey: lavenderridge.NewCustomerKey([]byte("secret"))}
@@ -193,12 +205,13 @@
 }
 
 // playRevocation plays n daemons in c data centres for the time d and returns the judge.
-// If faults is set, faults are drawn with the seed.
-func playRevocation(t *testing.T, n, c int, d time.Duration, seed uint64, faults bool) *revocationJudge {
+// Unless k is calm, faults are drawn with the seed.
+func playRevocation(t *testing.T, n, c int, d time.Duration, seed uint64, k string) *revocationJudge {
 	j := &revocationJudge{random: rand.New(rand.NewPCG(seed, 2)), held: map[*process]heldRequest{}}
 	synctest.Test(t, func(*testing.T) {
 		f := newFleet(n, c, seed)
 		f.revocation, j.fleet = configservice.NewRevocationPlan(revokeWithin), f
+		f.stoppingClock = k == "stopping-clock"
 		j.acknowledged = []time.Time{time.Now()}
 		for _, m := range f.nodes {
 			m.launch()
@@ -207,7 +220,7 @@
 		j.refused, j.ages = 0, nil
 		clear(f.catalogueReads)
 		for b := time.Now(); time.Since(b) < d && f.violation == nil; {
-			if !faults {
+			if k == "calm" {
 				j.publish()
 				j.run(7 * time.Second)
 				continue
@@ -255,7 +268,7 @@
 		r := "no request runs after its key was taken away for 5s\n"
 		var admitted, refused, others int
 		for s := range seeds {
-			j := playRevocation(t, n, c, time.Duration(seconds)*time.Second, uint64(s), d.Cmd == "faults")
+			j := playRevocation(t, n, c, time.Duration(seconds)*time.Second, uint64(s), d.Cmd)
 			if j.fleet.violation != nil {
 				r = fmt.Sprintf("seed %d: %v\n", s, j.fleet.violation)
 			}
@@ -267,6 +280,9 @@
 					d.Cmd, n, s, k, j.refused, j.ages[k/2], j.ages[k*99/100], j.ages[k-1], j.readerCalls, j.otherCalls)
 			}
 		}
+		if d.Cmd == "stopping-clock" {
+			return fmt.Sprintf("found: %t\n", strings.HasPrefix(r, "seed"))
+		}
 		if d.Cmd == "calm" {
 			return r + fmt.Sprintf("refused: %d, calls of daemons that are no readers: %d\n", refused, others)
 		}
--- a/internal/policy/configservice/followscheduler.go
+++ b/internal/policy/configservice/followscheduler.go
@@ -53,11 +53,8 @@
 		}
 		return p
 	}
-	if w, o := s.Revocation.readWindow(s); o {
-		return ReadPlan{Delay: scale(w, r)}
-	}
-	if s.HasVersion && s.PeerAge < followMaxPeerAge && s.SourceAge < followMaxSourceAge {
+	if s.HasVersion && s.PeerAge < followMaxPeerAge && s.SourceAge < followMaxSourceAge && !s.Revocation.readsSource(s.CatalogueAge) {
 		return ReadPlan{Skip: true, Delay: followSkipInterval}
 	}
-	return ReadPlan{Delay: scale(jitterWindow(meanReadInterval(s.FleetSize), s.Failures), r)}
+	return ReadPlan{Delay: scale(s.Revocation.readWindow(s), r)}
 }
--- a/internal/policy/configservice/gate_test.go
+++ b/internal/policy/configservice/gate_test.go
@@ -61,6 +61,10 @@
 		s.FleetSize, s.Failures = fleet, failures
 		s.PeerAge, s.SourceAge = time.Duration(peerAge)*time.Second, time.Duration(sourceAge)*time.Second
 		d.MaybeScanArgs(t, "has-list", &s.HasInstanceList)
+		var revoke, age int
+		d.MaybeScanArgs(t, "revoke", &revoke)
+		d.MaybeScanArgs(t, "catalogue-age", &age)
+		s.Revocation, s.CatalogueAge = configservice.NewRevocationPlan(time.Duration(revoke)*time.Second), time.Duration(age)*time.Second
 		p := configservice.PlanRead(s, random)
 		switch d.Cmd {
 		case "first":
--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -72,13 +72,10 @@
 	if s.IsReader {
 		return ReadPlan{Delay: backoff(s.Failures, r), Wait: scale(s.Revocation.watchWait(watchWait), (1+r)/2)}
 	}
-	if w, o := s.Revocation.readWindow(s); o && s.HasVersion {
-		return ReadPlan{Delay: scale(w, r)}
-	}
-	if s.HasVersion && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge {
+	if s.HasVersion && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge && !s.Revocation.readsSource(s.CatalogueAge) {
 		return ReadPlan{Skip: true}
 	}
-	p := ReadPlan{Delay: scale(jitterWindow(meanReadInterval(s.FleetSize), s.Failures), r)}
+	p := ReadPlan{Delay: scale(s.Revocation.readWindow(s), r)}
 	if !s.HasVersion {
 		p.Delay += peerGrace
 	}
--- a/internal/policy/configservice/revocationplan.go
+++ b/internal/policy/configservice/revocationplan.go
@@ -87,13 +87,19 @@
 	return min(d, p.MaxWatchWait())
 }
 
-// readWindow returns the longest delay of a read by a daemon in the state s that is not a
-// reader. It reports false if its proof is fresh enough, or so old that there is no hurry.
-func (p RevocationPlan) readWindow(s ReadState) (time.Duration, bool) {
-	if s.CatalogueAge < p.share(ownReadShare) || s.CatalogueAge >= p.within {
-		return 0, false
+// readsSource reports whether a daemon of the catalogue age a reads the source although it
+// is not a reader.
+func (p RevocationPlan) readsSource(a time.Duration) bool {
+	return p.Enabled() && a >= p.share(ownReadShare)
+}
+
+// readWindow returns the longest delay of such a read in the state s. It is short until
+// requests are refused.
+func (p RevocationPlan) readWindow(s ReadState) time.Duration {
+	if !p.readsSource(s.CatalogueAge) || s.CatalogueAge >= p.within {
+		return jitterWindow(meanReadInterval(s.FleetSize), s.Failures)
 	}
-	return max(p.share(ownReadJitterShare), fleetInterval(s.FleetSize)), true
+	return max(p.share(ownReadJitterShare), fleetInterval(s.FleetSize))
 }
 
 func (p RevocationPlan) share(f float64) time.Duration {
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -44,6 +44,11 @@
 	SourceAge time.Duration
 	// OwnSourceAge is the time since the source last responded to this daemon.
 	OwnSourceAge time.Duration
+	// CatalogueAge is a bound on the time since the active catalogue was the latest one of
+	// the source. Requests with a customer's key are refused from MaxCatalogueAge on, which
+	// is zero if that is not bounded.
+	CatalogueAge    time.Duration `json:",omitempty"`
+	MaxCatalogueAge time.Duration `json:",omitempty"`
 	// StartedAlone is true if no neighbour responded when the daemon started, so
 	// that it started with the versions of the source alone.
 	StartedAlone bool
