--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -69,6 +69,13 @@
 	requestsSent    atomic.Int64
 	lastRefused     atomic.Int64 // wall time of StopAccepting or of the last refusal after it, in nanoseconds
 	crashChecks     singleflight.Group
+	shares          atomic.Pointer[catalogueShares]
+}
+
+// catalogueShares are the shares of the customers of a catalogue.
+type catalogueShares struct {
+	catalogue *lavenderridge.Catalogue
+	shares    *backendserver.FairShares
 }
 
 var _ lavenderridge.Handler = (*OwnerHandler)(nil)
@@ -161,7 +168,7 @@
 
 // runNormal waits for a slot and runs the request.
 func (h *OwnerHandler) runNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
-	x, e := h.admission.EnterWithObjective(v, r.Class, h.waitDeadline(r), r.Objective, t)
+	x, e := h.admission.EnterArrival(v, h.arrival(r), t)
 	if e != nil {
 		return nil, h.withPlace(e)
 	}
@@ -174,6 +181,26 @@
 	return h.run(c, v, r, false)
 }
 
+// arrival returns r as an arrival at the admission.
+func (h *OwnerHandler) arrival(r *lavenderridge.Request) backendserver.Arrival {
+	q := backendserver.Arrival{Class: r.Class, Deadline: h.waitDeadline(r), Objective: r.Objective}
+	if r.Customer != "" {
+		q.Customer, q.Cost = r.Customer, h.fairShares().Cost(r.Customer)
+	}
+	return q
+}
+
+// fairShares returns the shares of the customers of the accepted catalogue.
+func (h *OwnerHandler) fairShares() *backendserver.FairShares {
+	s := h.snapshots.Snapshot()
+	if o := h.shares.Load(); o != nil && o.catalogue == s.Catalogue {
+		return o.shares
+	}
+	o := &catalogueShares{catalogue: s.Catalogue, shares: backendserver.NewFairShares(s.Catalogue)}
+	h.shares.Store(o)
+	return o.shares
+}
+
 // handleExclusive handles a suspect: it runs exclusively, while no other request is
 // in flight.
 func (h *OwnerHandler) handleExclusive(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -31,7 +31,8 @@
 	// mutex guards the fields below. It is taken only for a request that has
 	// to wait or is exclusive, and to admit waiting ones.
 	mutex            sync.Mutex
-	queue            []*Waiter // highest class first, then by objective and arrival
+	queue            []*Waiter // highest class first, then by turns, objective and arrival
+	turns            map[lavenderridge.Class]*turns
 	exclusiveRunning bool
 	exclusiveWaiting int
 	blockedSince     time.Time // when exclusiveBit was set
@@ -40,23 +41,24 @@
 
 // NewAdmission returns an empty admission that takes its limit from l.
 func NewAdmission(l *Limiter) *Admission {
-	return &Admission{limiter: l}
+	return &Admission{limiter: l, turns: make(map[lavenderridge.Class]*turns)}
 }
 
 // Enter requests a slot for a request of the class k with the deadline d; the
 // service v bounds the slots and the queue. It returns nil and nil when the
 // request is admitted, a Waiter when it has to wait, and otherwise a Refusal.
 func (a *Admission) Enter(v *lavenderridge.Service, k lavenderridge.Class, d, t time.Time) (*Waiter, error) {
-	return a.EnterWithObjective(v, k, d, time.Time{}, t)
+	return a.EnterArrival(v, Arrival{Class: k, Deadline: d}, t)
 }
 
-// EnterWithObjective is like Enter, but queues the request ahead of those of
-// its class whose objective ends after o.
-func (a *Admission) EnterWithObjective(v *lavenderridge.Service, k lavenderridge.Class, d, o, t time.Time) (*Waiter, error) {
+// EnterArrival is like Enter. The request q is queued ahead of those of its class whose
+// customers have taken more turns than its own one has, and then of those whose objective
+// ends later.
+func (a *Admission) EnterArrival(v *lavenderridge.Service, q Arrival, t time.Time) (*Waiter, error) {
 	if a.waiting.Load() == 0 && a.takeSlot(a.limit(v)) {
 		return nil, nil
 	}
-	return a.enterSlow(&Waiter{service: v, class: k, deadline: d, objective: o}, t)
+	return a.enterSlow(&Waiter{service: v, class: q.Class, deadline: q.Deadline, objective: q.Objective, customer: q.Customer, cost: q.Cost}, t)
 }
 
 // EnterExclusive is like Enter for an exclusive request, which runs while no
@@ -95,7 +97,7 @@
 	if i < 0 {
 		return false
 	}
-	a.remove(i, t)
+	a.abandon(i, t)
 	a.admitWaiting(t)
 	return true
 }
@@ -151,7 +153,9 @@
 		a.waiting.Add(-1)
 		return nil, nil
 	}
+	a.turnsOf(w).take(w)
 	if e := a.refusal(w, t); e != nil {
+		a.turnsOf(w).abandoned(w)
 		a.waiting.Add(-1)
 		a.admitWaiting(t)
 		return nil, e
@@ -202,7 +206,7 @@
 // queuePosition returns the index at which w would be inserted into the queue.
 func (a *Admission) queuePosition(w *Waiter) int {
 	for i, o := range a.queue {
-		if o.class < w.class || o.class == w.class && w.precedes(o) {
+		if w.precedes(o) {
 			return i
 		}
 	}
@@ -210,18 +214,42 @@
 }
 
 // evict refuses the last waiter in the queue if its class is lower than that
-// of w. The refusal advises the retry delay d.
+// of w, or its customer's turn later. The refusal advises the retry delay d.
 func (a *Admission) evict(w *Waiter, d time.Duration, t time.Time) bool {
 	i := len(a.queue) - 1
-	if i < 0 || a.queue[i].class >= w.class {
+	if i < 0 {
 		return false
 	}
 	o := a.queue[i]
-	a.remove(i, t)
-	o.decide(a.refuse(lavenderridge.ReasonOverloaded, "a request of a higher class took the place in the queue", d))
+	m := "a request of a higher class took the place in the queue"
+	switch {
+	case o.class < w.class:
+	case o.class == w.class && roundOf(w) < roundOf(o):
+		m = "a request of a customer that has sent fewer took the place in the queue"
+	default:
+		return false
+	}
+	a.abandon(i, t)
+	o.decide(a.refuse(lavenderridge.ReasonOverloaded, m, d))
 	return true
 }
 
+// turnsOf returns the turns of the class of w, or nil if no customer has waited in it.
+func (a *Admission) turnsOf(w *Waiter) *turns {
+	s := a.turns[w.class]
+	if s == nil && w.customer != "" {
+		s = newTurns()
+		a.turns[w.class] = s
+	}
+	return s
+}
+
+// abandon takes the waiter at the index i, which is not admitted, out of the queue.
+func (a *Admission) abandon(i int, t time.Time) {
+	a.turnsOf(a.queue[i]).abandoned(a.queue[i])
+	a.remove(i, t)
+}
+
 func (a *Admission) insert(w *Waiter, t time.Time) {
 	a.queue = slices.Insert(a.queue, a.queuePosition(w), w)
 	if w.exclusive {
@@ -237,6 +265,11 @@
 		a.delayNextExclusive(t)
 	}
 	a.queue = slices.Delete(a.queue, i, i+1)
+	if len(a.queue) == 0 {
+		for _, s := range a.turns {
+			s.reset()
+		}
+	}
 	a.waiting.Add(-1)
 	a.updateExclusiveBit(t)
 }
@@ -272,10 +305,10 @@
 		d := l * time.Duration(i) / time.Duration(a.limit(w.service))
 		switch {
 		case w.missesDeadline(t.Add(l)):
-			a.remove(i, t)
+			a.abandon(i, t)
 			w.decide(a.refuse(lavenderridge.ReasonDeadline, "no slot was free in time for the deadline", 0))
 		case w.missesDeadline(t.Add(l + d)):
-			a.remove(i, t)
+			a.abandon(i, t)
 			w.decide(a.refuse(lavenderridge.ReasonOverloaded, "requests ahead took the slots that were free in time", d))
 		}
 	}
@@ -298,6 +331,7 @@
 	if !a.takeSlot(a.limit(w.service)) {
 		return false
 	}
+	a.turnsOf(w).admitted(w)
 	a.remove(0, t)
 	w.decide(nil)
 	return true
--- a/internal/policy/backendserver/overload_test.go
+++ b/internal/policy/backendserver/overload_test.go
@@ -14,9 +14,9 @@
 
 // queued is a request that waits for a slot of an overloaded backend server.
 type queued struct {
-	waiter   *backendserver.Waiter
-	arrived  time.Time
-	deadline time.Time
+	waiter  *backendserver.Waiter
+	arrived time.Time
+	arrival backendserver.Arrival
 }
 
 // overload counts what the callers of an overloaded backend server get.
@@ -35,14 +35,22 @@
 		d.ScanArgs(t, "load", &load)
 		var x float64
 		_, _ = fmt.Sscan(load, &x)
-		o := playOverload(x)
+		o := &overload{}
+		playOverload(x, func(k *rand.Rand, n time.Time) backendserver.Arrival {
+			q := backendserver.Arrival{Class: lavenderridge.ClassNormal, Deadline: n.Add(900 * time.Millisecond), Objective: n.Add(400 * time.Millisecond)}
+			if k.IntN(2) == 0 {
+				q.Class, q.Deadline = lavenderridge.ClassUrgent, n.Add(500*time.Millisecond)
+			}
+			return q
+		}, func(backendserver.Arrival) *overload { return o })
 		return fmt.Sprintf("served %d, late %d, refused at once %d, refused later %d after a mean wait of %s\n",
 			o.served, o.late, o.refusedAtOnce, o.refusedLater, (o.wasted / time.Duration(max(1, o.refusedLater))).Round(time.Millisecond))
 	})
 }
 
-// playOverload plays x times the load that the slots can run.
-func playOverload(x float64) overload {
+// playOverload plays x times the load that the slots can run. The function draw returns
+// the requests, and count where to count what becomes of one.
+func playOverload(x float64, draw func(*rand.Rand, time.Time) backendserver.Arrival, count func(backendserver.Arrival) *overload) {
 	const slots, work, length = 9, 120 * time.Millisecond, 60 * time.Second
 	k := rand.New(rand.NewPCG(3, 4))
 	n := time.Unix(0, 0)
@@ -50,14 +58,14 @@
 	l := backendserver.NewLimiter(n, backendserver.WithFixedLimit())
 	a := backendserver.NewAdmission(l)
 	s := &lavenderridge.Service{Slots: slots, Connections: 130, Queue: 64}
-	var o overload
 	var waiting []queued
 	var running []time.Time // when each request in flight ends
 	var begun []time.Duration
-	run := func(deadline time.Time) {
+	run := func(q backendserver.Arrival) {
 		w := time.Duration(float64(work) * (0.5 + k.ExpFloat64()/2))
 		running, begun = append(running, n.Add(w)), append(begun, w)
-		if o.served++; n.Add(w).After(deadline) {
+		o := count(q)
+		if o.served++; n.Add(w).After(q.Deadline) {
 			o.late++
 		}
 	}
@@ -72,9 +80,10 @@
 			waiting = append(waiting[:i], waiting[i+1:]...)
 			i--
 			if q.waiter.Err() == nil {
-				run(q.deadline)
+				run(q.arrival)
 				continue
 			}
+			o := count(q.arrival)
 			o.refusedLater++
 			o.wasted += n.Sub(q.arrived)
 		}
@@ -98,20 +107,16 @@
 			continue
 		}
 		arrival = n.Add(time.Duration(k.ExpFloat64() * float64(work) / slots / x))
-		c, u := lavenderridge.ClassNormal, n.Add(900*time.Millisecond)
-		if k.IntN(2) == 0 {
-			c, u = lavenderridge.ClassUrgent, n.Add(500*time.Millisecond)
-		}
-		w, e := a.EnterWithObjective(s, c, u, n.Add(400*time.Millisecond), n)
+		q := draw(k, n)
+		w, e := a.EnterArrival(s, q, n)
 		switch {
 		case e != nil:
-			o.refusedAtOnce++
+			count(q).refusedAtOnce++
 		case w == nil:
-			run(u)
+			run(q)
 		default:
-			waiting = append(waiting, queued{waiter: w, arrived: n, deadline: u})
+			waiting = append(waiting, queued{waiter: w, arrived: n, arrival: q})
 		}
 		settle()
 	}
-	return o
 }
--- a/internal/policy/backendserver/waiter.go
+++ b/internal/policy/backendserver/waiter.go
@@ -14,6 +14,11 @@
 	// objective is when the latency objective of the request ends; zero for a
 	// request without one.
 	objective time.Time
+	// customer and cost are those of the Arrival, and turn is when it is the customer's
+	// turn.
+	customer  lavenderridge.CustomerID
+	cost      float64
+	turn      float64
 	exclusive bool // must run with no other request in flight
 	decided   chan struct{}
 	err       error
@@ -41,7 +46,14 @@
 	return !w.deadline.IsZero() && !t.Before(w.deadline)
 }
 
-// precedes reports whether the objective of w ends before that of o.
+// precedes reports whether w is queued ahead of o, which arrived before: its class is
+// higher, its customer's turn is earlier, or its objective ends before that of o.
 func (w *Waiter) precedes(o *Waiter) bool {
+	if w.class != o.class {
+		return w.class > o.class
+	}
+	if a, b := roundOf(w), roundOf(o); a != b {
+		return a < b
+	}
 	return !w.objective.IsZero() && (o.objective.IsZero() || w.objective.Before(o.objective))
 }
