--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -97,7 +97,9 @@
 	if i < 0 {
 		return false
 	}
-	a.abandon(i, t)
+	if a.abandon(i, t) {
+		a.sort(t)
+	}
 	a.admitWaiting(t)
 	return true
 }
@@ -155,7 +157,7 @@
 	}
 	a.turnsOf(w).take(w)
 	if e := a.refusal(w, t); e != nil {
-		a.turnsOf(w).abandoned(w)
+		a.turnsOf(w).abandoned(w, nil)
 		a.waiting.Add(-1)
 		a.admitWaiting(t)
 		return nil, e
@@ -229,7 +231,9 @@
 	default:
 		return false
 	}
-	a.abandon(i, t)
+	if a.abandon(i, t) {
+		a.sort(t)
+	}
 	o.decide(a.refuse(lavenderridge.ReasonOverloaded, m, d))
 	return true
 }
@@ -244,10 +248,26 @@
 	return s
 }
 
-// abandon takes the waiter at the index i, which is not admitted, out of the queue.
-func (a *Admission) abandon(i int, t time.Time) {
-	a.turnsOf(a.queue[i]).abandoned(a.queue[i])
+// abandon takes the waiter at the index i, which is not admitted, out of the queue. The
+// caller sorts the queue if that reports true.
+func (a *Admission) abandon(i int, t time.Time) bool {
+	m := a.turnsOf(a.queue[i]).abandoned(a.queue[i], a.queue)
 	a.remove(i, t)
+	return m
+}
+
+// sort sorts the queue after turns have changed.
+func (a *Admission) sort(t time.Time) {
+	slices.SortStableFunc(a.queue, func(x, y *Waiter) int {
+		switch {
+		case x.precedes(y):
+			return -1
+		case y.precedes(x):
+			return 1
+		}
+		return 0
+	})
+	a.updateExclusiveBit(t)
 }
 
 func (a *Admission) insert(w *Waiter, t time.Time) {
@@ -299,19 +319,22 @@
 // were admitted now, and those behind whom others have been inserted ahead until the
 // wait would outlast their deadline. The latter have time left for another target.
 func (a *Admission) refuseLate(t time.Time) {
-	l := a.limiter.Latency()
+	l, m := a.limiter.Latency(), false
 	for i := len(a.queue) - 1; i >= 0; i-- {
 		w := a.queue[i]
 		d := l * time.Duration(i) / time.Duration(a.limit(w.service))
 		switch {
 		case w.missesDeadline(t.Add(l)):
-			a.abandon(i, t)
+			m = a.abandon(i, t) || m
 			w.decide(a.refuse(lavenderridge.ReasonDeadline, "no slot was free in time for the deadline", 0))
 		case w.missesDeadline(t.Add(l + d)):
-			a.abandon(i, t)
+			m = a.abandon(i, t) || m
 			w.decide(a.refuse(lavenderridge.ReasonOverloaded, "requests ahead took the slots that were free in time", d))
 		}
 	}
+	if m {
+		a.sort(t)
+	}
 }
 
 // admitWaiting admits waiters from the front of the queue while slots are
--- a/internal/policy/backendserver/turns.go
+++ b/internal/policy/backendserver/turns.go
@@ -51,12 +51,22 @@
 	}
 }
 
-// abandoned gives the turn of w back, which has not been admitted, if it was the last one
-// of its customer.
-func (s *turns) abandoned(w *Waiter) {
-	if s != nil && w.customer != "" && s.next[w.customer] == w.turn+w.cost {
-		s.next[w.customer] = w.turn
+// abandoned gives the turn of w back, which has not been admitted: the requests of its
+// customer behind it in the queue a move up. It reports whether there are any.
+func (s *turns) abandoned(w *Waiter, a []*Waiter) bool {
+	if s == nil || w.customer == "" {
+		return false
 	}
+	m := false
+	for _, o := range a {
+		if o.customer == w.customer && o.class == w.class && o.turn > w.turn {
+			o.turn, m = o.turn-w.cost, true
+		}
+	}
+	if n, o := s.next[w.customer]; o {
+		s.next[w.customer] = n - w.cost
+	}
+	return m
 }
 
 // reset forgets all turns, because nobody waits any more.
