--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -318,7 +318,7 @@
 		}
 		return nil, e
 	}
-	s.proofs.PeerReplied(q.Proof, u)
+	s.recordProof(q, u)
 	s.merge(q, false)
 	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
--- a/internal/daemon/peer/gossiperproofs.go
+++ b/internal/daemon/peer/gossiperproofs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -37,6 +38,18 @@
 	return nil
 }
 
+// recordProof records the proof in the reply q to a call that began at the time u. A daemon
+// that has other content of the accepted version proves nothing about this one's.
+func (s *Gossiper) recordProof(q *lavenderridge.Exchange, u time.Duration) {
+	if s.proofs == nil || q.Proof.Version == 0 {
+		return
+	}
+	if a, b := q.Sender.Stamps.Catalogue, s.store.Stamps().Catalogue; a.Version == b.Version && a.Digest != b.Digest {
+		return
+	}
+	s.proofs.PeerReplied(q.Proof, u)
+}
+
 // askForProof exchanges versions with the next of the sources a, unless the proofs are
 // fresh. A source whose reply shows no fresh proof is not asked again at once.
 func (s *Gossiper) askForProof(c context.Context, a *configservice.ProofSources) {
