--- a/internal/daemon/caller/session_test.go
+++ b/internal/daemon/caller/session_test.go
@@ -255,8 +255,8 @@
 	if d.MaybeScanArgs(t, "key", &k) {
 		r.Key = lavenderridge.IdempotencyKey(k)
 	}
-	if d.MaybeScanArgs(t, "customer", &k) {
-		r.Customer = lavenderridge.CustomerID(k)
+	if d.HasArg("with-key") {
+		r.CustomerKey = lavenderridge.NewCustomerKey([]byte("secret"))
 	}
 	var b strings.Builder
 	for range n {
