--- a/internal/daemon/caller/freshattempter.go
+++ b/internal/daemon/caller/freshattempter.go
@@ -7,8 +7,9 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 )
 
-// A FreshAttempter makes no attempt of a request with a key while the catalogue is too
-// old, for example when the machine was suspended after the request had been admitted.
+// A FreshAttempter makes no further attempt of a request with a key while the catalogue is
+// too old, for example when the machine was suspended after the request had been admitted.
+// The first attempt follows the check of the FreshnessHandler at once.
 type FreshAttempter struct {
 	limit *configservice.FreshnessLimit
 	next  Attempter
@@ -23,8 +24,10 @@
 
 // Attempt implements Attempter.
 func (h *FreshAttempter) Attempt(c context.Context, s *lavenderridge.Snapshot, r *lavenderridge.Request, x lavenderridge.Exclusion) (lavenderridge.InstanceID, *lavenderridge.Response, error) {
-	if v := h.limit.Check(r, s.Versions().Catalogue); v != nil {
-		return "", nil, v
+	if r.Attempt > 1 {
+		if v := h.limit.Check(r, s.Versions().Catalogue); v != nil {
+			return "", nil, v
+		}
 	}
 	return h.next.Attempt(c, s, r, x)
 }
