Look up a customer's share only for requests that wait

Cause: the owner took the share of the customer of each request before it asked the admission for a slot. The first request under a new catalogue also computed the shares of all customers, though a slot was free. docs/design/fairness.md says that requests that find a free slot are not touched.

Change: Admission.TryEnter takes a free slot first.

Checked: go test -race of policy/backendserver and daemon/backendserver.

--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -168,7 +168,7 @@
 
 // runNormal waits for a slot and runs the request.
 func (h *OwnerHandler) runNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
-	x, e := h.admission.EnterArrival(v, h.arrival(r), t)
+	x, e := h.enter(v, r, t)
 	if e != nil {
 		return nil, h.withPlace(e)
 	}
@@ -181,6 +181,15 @@
 	return h.run(c, v, r, false)
 }
 
+// enter asks the admission for a slot. Only a request that finds none free needs the share
+// of its customer.
+func (h *OwnerHandler) enter(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*backendserver.Waiter, error) {
+	if h.admission.TryEnter(v) {
+		return nil, nil
+	}
+	return h.admission.EnterArrival(v, h.arrival(r), t)
+}
+
 // arrival returns r as an arrival at the admission.
 func (h *OwnerHandler) arrival(r *lavenderridge.Request) backendserver.Arrival {
 	q := backendserver.Arrival{Class: r.Class, Deadline: h.waitDeadline(r), Objective: r.Objective}
--- a/internal/policy/backendserver/admission.go
+++ b/internal/policy/backendserver/admission.go
@@ -44,6 +44,12 @@
 	return &Admission{limiter: l, turns: make(map[lavenderridge.Class]*turns)}
 }
 
+// TryEnter takes a slot if one is free and no request waits for it. It reports whether it
+// has.
+func (a *Admission) TryEnter(v *lavenderridge.Service) bool {
+	return a.waiting.Load() == 0 && a.takeSlot(a.limit(v))
+}
+
 // Enter requests a slot for a request of the class k with the deadline d; the
 // service v bounds the slots and the queue. It returns nil and nil when the
 // request is admitted, a Waiter when it has to wait, and otherwise a Refusal.
@@ -55,7 +61,7 @@
 // customers have taken more turns than its own one has, and then of those whose objective
 // ends later.
 func (a *Admission) EnterArrival(v *lavenderridge.Service, q Arrival, t time.Time) (*Waiter, error) {
-	if a.waiting.Load() == 0 && a.takeSlot(a.limit(v)) {
+	if a.TryEnter(v) {
 		return nil, nil
 	}
 	return a.enterSlow(&Waiter{service: v, class: q.Class, deadline: q.Deadline, objective: q.Objective, customer: q.Customer, cost: q.Cost}, t)
