Draw lost responses of the source only in sessions that lose some

Cause: the fleet of daemon/peer drew a random number for each call to the source, also in TestStateMachine and the other sessions that know no lost responses.

Change: no draw unless the session loses responses. TestRevocation's draws change in the sessions in which it loses none.

--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -256,7 +256,7 @@
 func (f *fleet) drawSourceFault() (slow, late time.Duration, lost bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.sourceSlow, f.sourceLate, f.random.Float64() < f.sourceLoss
+	return f.sourceSlow, f.sourceLate, f.sourceLoss > 0 && f.random.Float64() < f.sourceLoss
 }
 
 // readSource reads the source until it has a version of d newer than v, but at most for w.
