Let requests without a customer move the round of turns on

Cause: a waiting request without a customer has its turn in the present round, and the round moved on only when one of a customer in a later round was admitted. While requests without a customer kept coming, each customer had one request admitted and then none: every new one without a customer went before its next one. A public entry with many callers took the room of all customers of its class, which it didn't before there were turns.

Change: each admitted request without a customer moves the round on by the share of one customer in it. Ruled out: one turn for all of them together, as for a customer; calls below running requests would get one part in 25.

--- a/internal/policy/backendserver/fairness_test.go
+++ b/internal/policy/backendserver/fairness_test.go
@@ -121,3 +121,51 @@
 			"turns by the quota: " + describeShares(playCustomers(x, h, m, true, true), h)
 	})
 }
+
+// playPublic plays requests without a customer that cause u times the load that the slots
+// can run, beside those of equal customers that cause x times it, of which one sends m times
+// as much as another. It returns the requests without a customer, those of the customer that
+// sends more, and those of the others.
+func playPublic(u, x, m float64, f bool) (public, hot, others overload) {
+	index := map[time.Time]*overload{}
+	playOverload(u+x, func(k *rand.Rand, n time.Time) backendserver.Arrival {
+		q := backendserver.Arrival{Class: lavenderridge.ClassNormal, Deadline: n.Add(500 * time.Millisecond), Objective: n.Add(500 * time.Millisecond)}
+		o, i := &public, 0
+		if k.Float64()*(u+x) >= u {
+			o = &hot
+			if v := k.Float64() * (customerCount - 1 + m); v >= m {
+				o, i = &others, 1+int(v-m)
+			}
+			if f {
+				q.Customer, q.Cost = lavenderridge.CustomerID(fmt.Sprintf("c%d", i)), 1
+			}
+		}
+		index[q.Deadline] = o
+		return q
+	}, func(q backendserver.Arrival) *overload { return index[q.Deadline] })
+	return public, hot, others
+}
+
+// TestFairnessBesidePublic guards against requests without a customer that take the room of
+// all customers: each new one had its turn in the present round, which only those of
+// customers moved on. A few of them, such as calls below running requests, go first.
+func TestFairnessBesidePublic(t *testing.T) {
+	datadriven.RunTest(t, "testdata/fairness_public", func(t *testing.T, d *datadriven.TestData) string {
+		var public, customers, times string
+		d.ScanArgs(t, "public", &public)
+		d.ScanArgs(t, "customers", &customers)
+		d.ScanArgs(t, "times", &times)
+		var u, x, m float64
+		_, _ = fmt.Sscan(public+" "+customers+" "+times, &u, &x, &m)
+		var b strings.Builder
+		for _, f := range []bool{false, true} {
+			var a []any
+			p, h, o := playPublic(u, x, m, f)
+			for _, v := range []overload{p, h, o} {
+				a = append(a, 100*float64(v.served-v.late)/float64(v.served+v.refusedAtOnce+v.refusedLater))
+			}
+			fmt.Fprintf(&b, "turns %t: without a customer %.0f%%, the customer that sends more %.0f%%, the others %.0f%%\n", append([]any{f}, a...)...)
+		}
+		return b.String()
+	})
+}
--- a/internal/policy/backendserver/turns.go
+++ b/internal/policy/backendserver/turns.go
@@ -37,13 +37,22 @@
 	s.next[w.customer] = w.turn + w.cost
 }
 
-// admitted records that the request w has been admitted in its turn. Customers whose next
-// turn would be in the new round or before are forgotten.
+// admitted records that the request w has been admitted in its turn. One without a customer
+// moves the round on by the share of one customer in it. Customers whose next turn would be
+// in the new round or before are forgotten.
 func (s *turns) admitted(w *Waiter) {
-	if s == nil || roundOf(w) <= s.round {
+	if s == nil {
+		return
+	}
+	r := max(s.round, roundOf(w))
+	if n := len(s.next); w.customer == "" && n > 0 {
+		// Otherwise customers would wait until no request without one does.
+		r += 1 / float64(n)
+	}
+	if r <= s.round {
 		return
 	}
-	s.round = roundOf(w)
+	s.round = r
 	for c, n := range s.next {
 		if n <= s.round {
 			delete(s.next, c)
