Merge the revocation of customers' keys and turns between customers

Cause: a daemon without contact to the source went on to run requests whose keys had been taken away, and one customer could take the room of all others.

Change: proofs that a catalogue is the newest, checked before a request with a key runs, and turns of customers in the queue of a backend server.

--- a/internal/daemon/assembly/customers_test.go
+++ b/internal/daemon/assembly/customers_test.go
@@ -64,11 +64,13 @@
 	logs     lockedBuffer
 	received chan http.Header
 	version  lavenderridge.Version
+	// revokeWithin is the time within which revocations hold.
+	revokeWithin time.Duration
 }
 
-func newCustomerFleet(t *testing.T) *customerFleet {
+func newCustomerFleet(t *testing.T, w time.Duration) *customerFleet {
 	t.Helper()
-	f := &customerFleet{t: t, source: factsource.NewSource(), daemons: map[string]*assembly.Daemon{}, received: make(chan http.Header, 1)}
+	f := &customerFleet{t: t, revokeWithin: w, source: factsource.NewSource(), daemons: map[string]*assembly.Daemon{}, received: make(chan http.Header, 1)}
 	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set("Instance-Id", "i-1")
 		w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
@@ -100,6 +102,7 @@
 		Instance: i, DataCentre: "dc", Service: s, Backend: a, Connections: 20,
 		Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Operator: "127.0.0.1:0", MaxBody: lavenderridge.Mebibyte,
 		StopTimeout: 2 * time.Second, FleetSize: 2, RetryRatio: 0.2, RetryExtra: 64, ColdFactor: 1,
+		RevokeWithin: f.revokeWithin,
 	}, k, assembly.WithAdapter(platformProtocols{factsource.Adapter{Source: f.source}}), assembly.WithLogger(l))
 	if e != nil {
 		f.t.Fatal(e)
@@ -202,7 +205,7 @@
 // the backend server that runs them, "b", and to another one, "a". The backend server is told
 // the customer and never the key, and nothing that the daemons write contains a key.
 func TestCustomers(t *testing.T) {
-	f := newCustomerFleet(t)
+	f := newCustomerFleet(t, 0)
 	datadriven.RunTest(t, "testdata/customers", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "customers":
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
@@ -39,6 +40,8 @@
 	recorder       lavenderridge.Recorder
 	readiness      lavenderridge.Readiness
 	limiterOptions []backendserver.LimiterOption
+	// freshness is nil unless WithFreshness is used.
+	freshness *configservice.FreshnessLimit
 
 	limiter   *backendserver.Limiter
 	admission *backendserver.Admission
@@ -66,6 +69,13 @@
 	requestsSent    atomic.Int64
 	lastRefused     atomic.Int64 // wall time of StopAccepting or of the last refusal after it, in nanoseconds
 	crashChecks     singleflight.Group
+	shares          atomic.Pointer[catalogueShares]
+}
+
+// catalogueShares are the shares of the customers of a catalogue.
+type catalogueShares struct {
+	catalogue *lavenderridge.Catalogue
+	shares    *backendserver.FairShares
 }
 
 var _ lavenderridge.Handler = (*OwnerHandler)(nil)
@@ -158,7 +168,7 @@
 
 // runNormal waits for a slot and runs the request.
 func (h *OwnerHandler) runNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
-	x, e := h.admission.EnterWithObjective(v, r.Class, h.waitDeadline(r), r.Objective, t)
+	x, e := h.enter(v, r, t)
 	if e != nil {
 		return nil, h.withPlace(e)
 	}
@@ -171,6 +181,35 @@
 	return h.run(c, v, r, false)
 }
 
+// enter asks the admission for a slot. Only a request that finds none free needs the share
+// of its customer.
+func (h *OwnerHandler) enter(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*backendserver.Waiter, error) {
+	if h.admission.TryEnter(v) {
+		return nil, nil
+	}
+	return h.admission.EnterArrival(v, h.arrival(r), t)
+}
+
+// arrival returns r as an arrival at the admission.
+func (h *OwnerHandler) arrival(r *lavenderridge.Request) backendserver.Arrival {
+	q := backendserver.Arrival{Class: r.Class, Deadline: h.waitDeadline(r), Objective: r.Objective}
+	if r.Customer != "" {
+		q.Customer, q.Cost = r.Customer, h.fairShares().Cost(r.Customer)
+	}
+	return q
+}
+
+// fairShares returns the shares of the customers of the accepted catalogue.
+func (h *OwnerHandler) fairShares() *backendserver.FairShares {
+	s := h.snapshots.Snapshot()
+	if o := h.shares.Load(); o != nil && o.catalogue == s.Catalogue {
+		return o.shares
+	}
+	o := &catalogueShares{catalogue: s.Catalogue, shares: backendserver.NewFairShares(s.Catalogue)}
+	h.shares.Store(o)
+	return o.shares
+}
+
 // handleExclusive handles a suspect: it runs exclusively, while no other request is
 // in flight.
 func (h *OwnerHandler) handleExclusive(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
@@ -225,6 +264,19 @@
 	return h.listed.service(s, v, n), n.Backend, nil
 }
 
+// checkFresh returns a refusal if r has a key and the catalogue has become too old to show
+// that it is still valid, for example while the machine was suspended and r waited.
+func (h *OwnerHandler) checkFresh(r *lavenderridge.Request) error {
+	s := h.snapshots.Snapshot()
+	if h.freshness == nil || s == nil {
+		return nil
+	}
+	if e := h.freshness.Check(r, s.Versions().Catalogue); e != nil {
+		return h.withPlace(e)
+	}
+	return nil
+}
+
 // checkEligible returns a refusal if this instance is not eligible under the
 // snapshot s: it is not listed, is leaving, or it or its data centre is out of
 // service. When the instance becomes eligible again, the ramp restarts.
@@ -276,6 +328,9 @@
 	if e != nil {
 		return nil, e
 	}
+	if e := h.checkFresh(r); e != nil {
+		return nil, e
+	}
 	if e := h.enterColdStart(v, r, b); e != nil {
 		return nil, e
 	}
