Send suspects only to daemons that don't have them

Cause: each exchange, and each reply to one, contained up to 32 records of requests suspected of a crash, whether the receiver had them or not.

Ruled out: requests that are refused by one owner after the other (half as many attempts left the bytes as they were), documents (11 MB).

Change: a daemon remembers which records another one was sent or has sent, by incarnation, and leaves them out for 30 s.

--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -64,6 +64,7 @@
 	onReadRequest func(time.Duration)
 	address       lavenderridge.Address
 	suspects      lavenderridge.SuspectStore
+	sentSuspects  *peer.SentSuspects
 	recorder      lavenderridge.Recorder
 	counters      metrics.Registry
 
@@ -83,7 +84,7 @@
 		self: f, store: s, acceptor: a, gate: g, sourceContact: t, neighbourhood: h, dialer: d, clock: k,
 		log: zap.NewNop(), leaving: func() bool { return false }, onReadRequest: func(time.Duration) {}, counters: metrics.NewRegistry(),
 		pullers:     []*puller{newPuller(lavenderridge.DocumentCatalogue), newPuller(lavenderridge.DocumentInstanceList)},
-		pullLimiter: peer.NewPullLimiter(),
+		pullLimiter: peer.NewPullLimiter(), sentSuspects: peer.NewSentSuspects(),
 	}
 	for _, v := range o {
 		v(p)
@@ -171,7 +172,9 @@
 	if q.ReadFor > 0 {
 		s.onReadRequest(q.ReadFor)
 	}
-	return s.newExchange(), nil
+	p := s.newExchange(q.Sender.Instance)
+	s.sentSuspects.Exchanged(q.Sender.Instance, q.Sender.Incarnation, p.Suspects, s.clock.Now())
+	return p, nil
 }
 
 // Pull implements Exchanger.
@@ -206,12 +209,12 @@
 	return s.store.Stamps().Versions()
 }
 
-// newExchange returns the message that announces this daemon's state.
-func (s *Gossiper) newExchange() *lavenderridge.Exchange {
+// newExchange returns the message that announces this daemon's state to the instance n.
+func (s *Gossiper) newExchange(n lavenderridge.InstanceID) *lavenderridge.Exchange {
 	t := s.clock.Now()
 	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t)}
 	if s.suspects != nil {
-		q.Suspects = s.suspects.Suspects(t)
+		q.Suspects = s.sentSuspects.Unknown(n, s.suspects.Suspects(t), t)
 	}
 	return q
 }
@@ -224,6 +227,8 @@
 	if !s.neighbourhood.MessageReceived(q.Sender, i, q.Leaving, t) {
 		return
 	}
+	s.sentSuspects.Restarted(q.Sender.Instance, q.Sender.Incarnation)
+	s.sentSuspects.Exchanged(q.Sender.Instance, q.Sender.Incarnation, q.Suspects, t)
 	s.sourceContact.PeerReported(q.SourceAge, t)
 	s.acceptor.PeerContacted(q.Sender)
 	if s.suspects != nil && len(q.Suspects) > 0 {
@@ -285,7 +290,7 @@
 // counter n names the cause. The reply opens the gate, except in the first epoch, in
 // which openAtStart does so once it has queried the neighbours.
 func (s *Gossiper) exchangeWith(c context.Context, v *lavenderridge.Instance, n string) (*lavenderridge.Exchange, error) {
-	return s.sendExchange(c, v, n, s.newExchange())
+	return s.sendExchange(c, v, n, s.newExchange(v.ID))
 }
 
 // AskToRead asks the instance n to read the source for the time d.
@@ -294,7 +299,7 @@
 	if v == nil {
 		return fmt.Errorf("peer: ask %s to read: not listed", n)
 	}
-	q := s.newExchange()
+	q := s.newExchange(v.ID)
 	q.ReadFor = d
 	_, e := s.sendExchange(c, v, CounterReadRequest, q)
 	return e
@@ -315,6 +320,7 @@
 		return nil, e
 	}
 	s.merge(q, false)
+	s.sentSuspects.Exchanged(v.ID, q.Sender.Incarnation, x.Suspects, s.clock.Now())
 	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
 	}
