--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -38,12 +38,12 @@
 	s.catalogue.documentOperations = documentOperations[lavenderridge.Catalogue, lavenderridge.CatalogueDelta]{
 		name: lavenderridge.DocumentCatalogue, encode: k.EncodeCatalogue, decode: k.DecodeCatalogue,
 		encodeDelta: k.EncodeCatalogueDelta, decodeDelta: k.DecodeCatalogueDelta,
-		diff: DiffCatalogue, patch: PatchCatalogue, validate: ValidateCatalogue,
+		diff: DiffCatalogue, patch: PatchCatalogue, compose: ComposeCatalogue, validate: ValidateCatalogue,
 	}
 	s.instanceList.documentOperations = documentOperations[lavenderridge.InstanceList, lavenderridge.InstanceListDelta]{
 		name: lavenderridge.DocumentInstanceList, encode: k.EncodeInstanceList, decode: k.DecodeInstanceList,
 		encodeDelta: k.EncodeInstanceListDelta, decodeDelta: k.DecodeInstanceListDelta,
-		diff: DiffInstanceList, patch: PatchInstanceList, validate: instancelist.Validate,
+		diff: DiffInstanceList, patch: PatchInstanceList, compose: ComposeInstanceList, validate: instancelist.Validate,
 	}
 	return s
 }
@@ -102,7 +102,7 @@
 func (s *Store) OfferCatalogue(o Offer, c *lavenderridge.Catalogue) (OfferResult, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	v, e := s.catalogue.offer(o, c, lavenderridge.Digest{})
+	v, e := s.catalogue.offer(o, c, nil, lavenderridge.Digest{})
 	return s.recordResult(lavenderridge.DocumentCatalogue, o, v, e)
 }
 
@@ -110,7 +110,7 @@
 func (s *Store) OfferInstanceList(o Offer, l *lavenderridge.InstanceList) (OfferResult, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	v, e := s.instanceList.offer(o, l, lavenderridge.Digest{})
+	v, e := s.instanceList.offer(o, l, nil, lavenderridge.Digest{})
 	return s.recordResult(lavenderridge.DocumentInstanceList, o, v, e)
 }
 
--- a/internal/policy/configservice/versioneddocument.go
+++ b/internal/policy/configservice/versioneddocument.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/lavenderridge/lavenderridge"
 )
@@ -27,29 +28,32 @@
 	decodeDelta func([]byte) (*D, error)
 	diff        func(a, b *T) *D
 	patch       func(*T, *D) *T
+	compose     func(a, b *D) *D
 	validate    func(*T) lavenderridge.Findings
 }
 
-// versionedDocument holds the accepted version of one document and the versions
-// before it, from which deltas are computed. It is not safe for concurrent use.
+// versionedDocument holds the accepted version of one document and the deltas that led to
+// it from the versions before. It is not safe for concurrent use.
 type versionedDocument[T, D any] struct {
 	documentOperations[T, D]
 	acceptance lavenderridge.Acceptance
 	value      *T
 	encoded    []byte
-	history    []pastVersion[T]
+	history    []pastVersion[D]
 	deltas     map[lavenderridge.Stamp][]byte
 }
 
-// pastVersion is a version that was accepted before the present one.
-type pastVersion[T any] struct {
+// pastVersion is a version that was accepted before the present one, with the delta to
+// the version that was accepted next.
+type pastVersion[D any] struct {
 	stamp lavenderridge.Stamp
-	value *T
+	delta *D
 }
 
 // offer accepts or rejects the value v. If the digest a is not zero, the
-// encoding of v must have it.
-func (h *versionedDocument[T, D]) offer(o Offer, v *T, a lavenderridge.Digest) (OfferResult, error) {
+// encoding of v must have it. The delta d results in v from the accepted value; it is nil
+// if it is not known.
+func (h *versionedDocument[T, D]) offer(o Offer, v *T, d *D, a lavenderridge.Digest) (OfferResult, error) {
 	b, e := h.encode(v)
 	if e != nil {
 		return OfferRejected, fmt.Errorf("configservice: %w", e)
@@ -58,13 +62,16 @@
 	if a != (lavenderridge.Digest{}) && a != p.Digest {
 		return OfferRejected, errDigestMismatch
 	}
-	if d := compareStamps(h.acceptance.Stamp, p); d != OfferAccepted {
-		return d, nil
+	if c := compareStamps(h.acceptance.Stamp, p); c != OfferAccepted {
+		return c, nil
 	}
 	if e := h.check(v, b); e != nil {
 		return OfferRejected, e
 	}
-	h.accept(o, p, v, b)
+	if d == nil && h.value != nil {
+		d = h.diff(h.value, v)
+	}
+	h.accept(o, p, v, d, b)
 	return OfferAccepted, nil
 }
 
@@ -76,12 +83,12 @@
 	return f.Err()
 }
 
-func (h *versionedDocument[T, D]) accept(o Offer, p lavenderridge.Stamp, v *T, b []byte) {
+func (h *versionedDocument[T, D]) accept(o Offer, p lavenderridge.Stamp, v *T, d *D, b []byte) {
 	if h.value != nil {
-		h.history = append(h.history, pastVersion[T]{stamp: h.acceptance.Stamp, value: h.value})
+		h.history = append(h.history, pastVersion[D]{stamp: h.acceptance.Stamp, delta: d})
 	}
 	if len(h.history) > maxDeltaBases {
-		h.history = append([]pastVersion[T](nil), h.history[1:]...)
+		h.history = append([]pastVersion[D](nil), h.history[1:]...)
 	}
 	h.acceptance = lavenderridge.Acceptance{Stamp: p, Origin: o.Origin, Time: o.Time}
 	h.value, h.encoded = v, b
@@ -93,25 +100,27 @@
 	if compareStamps(h.acceptance.Stamp, p.Stamp) == OfferOlder {
 		return OfferOlder, nil
 	}
-	v, e := h.decodeReply(p)
+	v, d, e := h.decodeReply(p)
 	if e != nil {
 		return OfferRejected, e
 	}
-	return h.offer(o, v, p.Stamp.Digest)
+	return h.offer(o, v, d, p.Stamp.Digest)
 }
 
-func (h *versionedDocument[T, D]) decodeReply(p *lavenderridge.PullReply) (*T, error) {
+// decodeReply returns the document of p, and the delta from the accepted one if p has it.
+func (h *versionedDocument[T, D]) decodeReply(p *lavenderridge.PullReply) (*T, *D, error) {
 	if p.Delta == nil {
-		return h.decode(p.Whole)
+		v, e := h.decode(p.Whole)
+		return v, nil, e
 	}
 	if h.value == nil {
-		return nil, errDigestMismatch
+		return nil, nil, errDigestMismatch
 	}
 	d, e := h.decodeDelta(p.Delta)
 	if e != nil {
-		return nil, e
+		return nil, nil, e
 	}
-	return h.patch(h.value, d), nil
+	return h.patch(h.value, d), d, nil
 }
 
 // serve returns the reply to a peer that has the version s.
@@ -133,17 +142,20 @@
 	if d, o := h.deltas[s]; o {
 		return d
 	}
-	for _, v := range h.history {
-		if v.stamp != s {
-			continue
-		}
-		d, e := h.encodeDelta(h.diff(v.value, h.value))
-		if e == nil && len(d) < len(h.encoded) {
-			h.deltas[s] = d
-			return d
-		}
-	}
-	return nil
+	i := slices.IndexFunc(h.history, func(v pastVersion[D]) bool { return v.stamp == s })
+	if i < 0 {
+		return nil
+	}
+	c := h.history[i].delta
+	for _, v := range h.history[i+1:] {
+		c = h.compose(c, v.delta)
+	}
+	d, e := h.encodeDelta(c)
+	if e != nil || len(d) >= len(h.encoded) {
+		return nil
+	}
+	h.deltas[s] = d
+	return d
 }
 
 // compareStamps returns the result of offering the stamp b to a store whose
--- a/internal/transport/peerhttp/compact.go
+++ b/internal/transport/peerhttp/compact.go
@@ -225,7 +225,7 @@
 }
 
 var compressor = sync.OnceValue(func() *zstd.Encoder {
-	z, e := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<20), zstd.WithLowerEncoderMem(true))
+	z, e := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10), zstd.WithLowerEncoderMem(true))
 	if e != nil {
 		panic(e)
 	}
@@ -233,7 +233,7 @@
 })
 
 var decompressor = sync.OnceValue(func() *zstd.Decoder {
-	z, e := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(maxDecompressedSize)))
+	z, e := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(maxDecompressedSize)))
 	if e != nil {
 		panic(e)
 	}
