Bound waits for a slot more tightly while a queue doesn't drain

Cause: a request could wait for a slot until the last moment at which it usually ends in time.

Change: WaitBound. While no request has found a free slot for 250 ms, one may wait only so long that nine in ten of its entry end in time.

--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/transport/backendhttp"
@@ -36,6 +38,12 @@
 	}
 	h = backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
 	u := backendserver.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.configuration.store, d.config.Instance, h)
+	metrics.NewRegisteredFunctionalGauge("QueueStanding", d.metrics, func() int64 {
+		if h.QueueStanding() {
+			return 1
+		}
+		return 0
+	})
 	return &ownerPart{service: d.config.Service, owner: h, handler: u, suspects: h.Suspects()}, nil
 }
 
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -34,7 +34,7 @@
 	// factor and slack are the parameters f and s of WithListedCapacity.
 	factor        float64
 	slack         float64
-	latencies     backendserver.EntryAverages[time.Duration]
+	waits         *backendserver.WaitBound
 	responseSizes backendserver.EntryAverages[lavenderridge.ByteCount]
 	uplink        *backendserver.Uplink
 	// throttle reduces the load from requests that fail at the backend server.
@@ -59,7 +59,7 @@
 // which responses are sent, has the rate r.
 func WithListedCapacity(f, s float64, r lavenderridge.BitRate) OwnerOption {
 	return func(h *OwnerHandler) {
-		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64), uplink: backendserver.NewUplink(r)}
+		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64), uplink: backendserver.NewUplink(r), waits: backendserver.NewWaitBound(h.clock.Now())}
 		h.limiterOptions = append(h.limiterOptions, backendserver.WithFixedLimit())
 	}
 }
@@ -78,22 +78,38 @@
 	return &o.service
 }
 
-// waitDeadline returns the deadline that admission applies to r. A response after
-// the latency objective is worth little, whereas a request that is refused early
+// waitDeadline returns the deadline that admission applies to r at the time t. A response
+// after the latency objective is worth little, whereas a request that is refused early
 // can be sent to another instance or again in time, so the objective bounds the
 // wait as well. Admission subtracts the average latency of all requests from the
-// deadline; this is replaced by the average of the entry's requests.
-func (h *OwnerHandler) waitDeadline(r *lavenderridge.Request) time.Time {
+// deadline; the bound of the wait replaces it.
+func (h *OwnerHandler) waitDeadline(r *lavenderridge.Request, t time.Time) time.Time {
 	if h.listed == nil || r.Objective.IsZero() {
 		return r.Deadline
 	}
-	d := r.Objective.Add(h.limiter.Latency() - h.listed.latencies.Value(r.Entry))
+	d := h.listed.waits.LatestStart(r.Entry, r.Objective, h.objectiveOf(r), t).Add(h.limiter.Latency())
 	if !r.Deadline.IsZero() && r.Deadline.Before(d) {
 		return r.Deadline
 	}
 	return d
 }
 
+// QueueStanding reports whether requests have had to wait for a slot for so long that
+// their waits are bounded more tightly.
+func (h *OwnerHandler) QueueStanding() bool {
+	return h.listed != nil && h.listed.waits.Standing(h.clock.Now()) && h.admission.InFlight() > 0
+}
+
+// objectiveOf returns the latency objective of the entry of r, or zero.
+func (h *OwnerHandler) objectiveOf(r *lavenderridge.Request) time.Duration {
+	if s := h.snapshots.Snapshot(); s != nil {
+		if e := s.Entry(r.Entry); e != nil {
+			return e.Objective.Latency
+		}
+	}
+	return 0
+}
+
 // load returns the load of the backend server, with its limit under the service
 // v. If v is nil, the limit is that of the effective service, or zero.
 func (h *OwnerHandler) load(v *lavenderridge.Service) lavenderridge.Load {
@@ -119,7 +135,7 @@
 		return
 	}
 	if h.listed != nil {
-		h.listed.latencies.Observe(r.Entry, d)
+		h.listed.waits.Observe(r.Entry, d)
 	}
 	if e := s.Entry(r.Entry); e != nil {
 		h.pace.Observe(d, e.Objective.Latency)
@@ -154,7 +170,7 @@
 	if n < lavenderridge.LargeResponse || r.Objective.IsZero() || b == 0 {
 		return n, nil
 	}
-	if w := t.Add(h.listed.latencies.Value(r.Entry) + h.listed.uplink.Backlog()).Sub(r.Objective); w > 0 {
+	if w := t.Add(h.listed.waits.Usual(r.Entry) + h.listed.uplink.Backlog()).Sub(r.Objective); w > 0 {
 		h.listed.uplink.Remove(n)
 		return 0, h.notRun(lavenderridge.ReasonOverloaded, "the link is congested and would send the response after the objective", max(minLinkRetry, min(w, b)))
 	}
@@ -195,13 +211,7 @@
 
 // coldStartPriority returns the priority of r at a cold backend server.
 func (h *OwnerHandler) coldStartPriority(r *lavenderridge.Request) backendserver.ColdStartPriority {
-	k := backendserver.ColdStartPriority{Class: r.Class}
-	if s := h.snapshots.Snapshot(); s != nil {
-		if e := s.Entry(r.Entry); e != nil {
-			k.Objective = e.Objective.Latency
-		}
-	}
-	return k
+	return backendserver.ColdStartPriority{Class: r.Class, Objective: h.objectiveOf(r)}
 }
 
 // enterColdStart counts a request that is sent at the time t, or refuses it if a
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -158,10 +158,13 @@
 
 // runNormal waits for a slot and runs the request.
 func (h *OwnerHandler) runNormal(c context.Context, v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*lavenderridge.Response, error) {
-	x, e := h.admission.EnterWithObjective(v, r.Class, h.waitDeadline(r), r.Objective, t)
+	x, e := h.admission.EnterWithObjective(v, r.Class, h.waitDeadline(r, t), r.Objective, t)
 	if e != nil {
 		return nil, h.withPlace(e)
 	}
+	if x == nil && h.listed != nil {
+		h.listed.waits.SlotFree(t)
+	}
 	if x != nil {
 		if e := h.wait(c, x); e != nil {
 			return nil, h.withPlace(e)
--- /dev/null
+++ b/internal/policy/backendserver/entryquantiles.go
@@ -0,0 +1,48 @@
+package backendserver
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const (
+	// quantileStep is the relative change of an estimate after a sample above it.
+	quantileStep = 0.09
+	// quantileShare is the share of the samples below the estimate.
+	quantileShare = 0.9
+)
+
+// EntryQuantiles estimates the ninth decile of a value for each entry, such as of the
+// duration of its requests. Each sample moves the estimate by a small step, so that no
+// samples are kept. Concurrent samples may be lost.
+type EntryQuantiles[T ~int64] struct {
+	entries sync.Map // of lavenderridge.EntryID to *atomic.Int64
+}
+
+// Observe moves the estimate of the entry e towards the value v.
+func (b *EntryQuantiles[T]) Observe(e lavenderridge.EntryID, v T) {
+	p, o := b.entries.Load(e)
+	if !o {
+		p, _ = b.entries.LoadOrStore(e, &atomic.Int64{})
+	}
+	n := p.(*atomic.Int64)
+	k := n.Load()
+	switch {
+	case k == 0:
+		n.CompareAndSwap(0, int64(v))
+	case int64(v) > k:
+		n.CompareAndSwap(k, k+int64(float64(k)*quantileStep)+1)
+	default:
+		n.CompareAndSwap(k, k-int64(float64(k)*quantileStep*(1-quantileShare)/quantileShare))
+	}
+}
+
+// Value returns the estimate for the entry e, or zero before its first request.
+func (b *EntryQuantiles[T]) Value(e lavenderridge.EntryID) T {
+	if p, o := b.entries.Load(e); o {
+		return T(p.(*atomic.Int64).Load())
+	}
+	return 0
+}
