Ask no further instances for room while hardly any has it

Cause: a refusal of an owner reaches no backend server and costs no budget, so each refused request asked up to four more owners.

Change: an entry daemon measures the yield of such attempts for each service and stops them under one in five, but for each eighth.

--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -89,7 +89,9 @@
 	}
 	b := callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now(), o...)
 	metrics.NewRegisteredFunctionalGauge("LimitsInForce", d.metrics, func() int64 { return int64(b.LimitsInForce()) })
-	return b, b, callerpolicy.NewRetryPolicy(retryOptions(d)...)
+	p := callerpolicy.NewRetryPolicy(retryOptions(d)...)
+	metrics.NewRegisteredFunctionalGauge("FurtherAttemptsStopped", d.metrics, p.StoppedAttempts)
+	return b, b, p
 }
 
 // retryOptions returns the options for the fleet's retry budget, or none if the
--- a/internal/daemon/caller/retryhandler.go
+++ b/internal/daemon/caller/retryhandler.go
@@ -46,6 +46,9 @@
 			m = q.Limited
 		}
 		if v == nil {
+			if a.Count() > 0 {
+				h.policy.Rerouted(r.Service, h.clock.Now())
+			}
 			if m != nil {
 				w := *p
 				w.Limited = m
--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -44,6 +45,8 @@
 	failureParameters func() BudgetParameters
 	budgets           sync.Map // of lavenderridge.ServiceID to *RetryBudget
 	failureBudgets    sync.Map // of lavenderridge.ServiceID to *failureBudget
+	yields            sync.Map // of lavenderridge.ServiceID to *rerouteYield
+	stoppedAttempts   atomic.Int64
 }
 
 // NewRetryPolicy returns a policy with exponential backoff between attempts:
@@ -96,11 +99,51 @@
 		return 0, false
 	}
 	if !mayHaveReached(f) && p.freeRerouting {
-		return d, true
+		return d, p.mayReroute(r.Service, a, f, t)
 	}
 	return d, p.budget(r.Service, t).Take(t)
 }
 
+// Rerouted records that a further attempt for a request of the service d found room at
+// the time t.
+func (p *RetryPolicy) Rerouted(d lavenderridge.ServiceID, t time.Time) {
+	if p.freeRerouting {
+		p.yieldOf(d, t).record(true, t)
+	}
+}
+
+// mayReroute records the refusal f of the last of the attempts a, and reports whether
+// another instance may be tried at the time t.
+func (p *RetryPolicy) mayReroute(d lavenderridge.ServiceID, a *Attempts, f *lavenderridge.Refusal, t time.Time) bool {
+	if f.Reason != lavenderridge.ReasonOverloaded {
+		return true
+	}
+	y := p.yieldOf(d, t)
+	if a.Count() > 1 {
+		y.record(false, t)
+	}
+	o := y.allow(t)
+	if !o {
+		p.stoppedAttempts.Add(1)
+	}
+	return o
+}
+
+// StoppedAttempts returns the number of further attempts that were not made because
+// hardly any found an instance with room.
+func (p *RetryPolicy) StoppedAttempts() int64 {
+	return p.stoppedAttempts.Load()
+}
+
+// yieldOf returns the yield of further attempts for the service d; a new one starts at t.
+func (p *RetryPolicy) yieldOf(d lavenderridge.ServiceID, t time.Time) *rerouteYield {
+	if v, o := p.yields.Load(d); o {
+		return v.(*rerouteYield)
+	}
+	v, _ := p.yields.LoadOrStore(d, newRerouteYield(t))
+	return v.(*rerouteYield)
+}
+
 // Reroutes reports whether the attempt after one refused with f goes only to an
 // instance that is not known to refuse requests. Without a budget, nothing else bounds
 // the attempts that an overloaded service refuses.
