--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -185,14 +185,17 @@
 // of its customer.
 func (h *OwnerHandler) enter(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*backendserver.Waiter, error) {
 	if h.admission.TryEnter(v) {
+		if h.listed != nil {
+			h.listed.waits.SlotFree(t)
+		}
 		return nil, nil
 	}
-	return h.admission.EnterArrival(v, h.arrival(r), t)
+	return h.admission.EnterArrival(v, h.arrival(r, t), t)
 }
 
-// arrival returns r as an arrival at the admission.
-func (h *OwnerHandler) arrival(r *lavenderridge.Request) backendserver.Arrival {
-	q := backendserver.Arrival{Class: r.Class, Deadline: h.waitDeadline(r), Objective: r.Objective}
+// arrival returns r as an arrival at the admission at the time t.
+func (h *OwnerHandler) arrival(r *lavenderridge.Request, t time.Time) backendserver.Arrival {
+	q := backendserver.Arrival{Class: r.Class, Deadline: h.waitDeadline(r, t), Objective: r.Objective}
 	if r.Customer != "" {
 		q.Customer, q.Cost = r.Customer, h.fairShares().Cost(r.Customer)
 	}
