Bound what clients make the daemon hold at each door

Connections, heads and calls are taken out of accounts for each door before the HTTP library sees them; when one is full, the client that holds most and progresses least is closed.

--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
@@ -45,8 +46,20 @@
 	bitsPerMegabit        = 1e6
 	bytesPerMegabyte      = 1e6
 	maxColdSlack          = 1000.0
-	maxRatio              = 1.0 // retries per request
-	maxExtraRetries       = 100_000
+	maxDescriptors        = 1 << 20
+	minDescriptors        = 256
+	minDoorConnections    = 16
+	minDoorMemory         = 256 * lavenderridge.Kibibyte
+	minSendPause          = time.Second
+	maxSendPause          = 10 * time.Minute
+	defaultSendPause      = 30 * time.Second
+	// defaultHeaderFields is more than a header of the users' 16,384 bytes has, since a
+	// line has three bytes at least.
+	defaultHeaderFields = 5462
+	minHeaderFields     = 16
+	maxHeaderFields     = 1 << 16
+	maxRatio            = 1.0 // retries per request
+	maxExtraRetries     = 100_000
 )
 
 // Values of the setting Adapter.
@@ -143,10 +156,38 @@
 	d.Connections = lavenderridge.Connections(r.integer("Backend.Connections", defaultConnections, 1, maxConnections))
 	d.MaxBody = r.size("Limits.MaxBody", defaultMaxBody, lavenderridge.Kibibyte, maxMaxBody)
 	s.readStop(r)
+	s.readDoors(r)
 	d.FleetSize = r.integer("ConfigService.FleetSize", defaultFleetSize, 1, maxFleetSize)
 	d.Decisions = r.integer("Operator.Decisions", defaultDecisions, 1, maxDecisions)
 }
 
+// readDoors reads the limits of what clients make the daemon hold.
+func (s *Settings) readDoors(r *reader) {
+	d := &s.Daemon
+	n := func(k string, v, a int) lavenderridge.Connections {
+		return lavenderridge.Connections(r.integer("Limits."+k, v, a, maxDescriptors))
+	}
+	d.Descriptors = n("Descriptors", openFileLimit(), minDescriptors)
+	d.CallerConnections = n("CallerConnections", 0, minDoorConnections)
+	d.PeerConnections = n("PeerConnections", 0, minDoorConnections)
+	d.OperatorConnections = n("OperatorConnections", 0, minDoorConnections)
+	d.AddressConnections = n("AddressConnections", 0, 1)
+	d.HeaderFields = r.integer("Limits.HeaderFields", defaultHeaderFields, minHeaderFields, maxHeaderFields)
+	d.HeadMemory = r.size("Limits.HeadMemory", 0, minDoorMemory, maxBodyMemory)
+	d.CallMemory = r.size("Limits.CallMemory", 0, minDoorMemory, maxBodyMemory)
+	d.SendPause = r.duration("Limits.SendPause", defaultSendPause, minSendPause, maxSendPause)
+}
+
+// openFileLimit returns the number of descriptors that the process may have, or zero if
+// that isn't known.
+func openFileLimit() int {
+	var l syscall.Rlimit
+	if e := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); e != nil {
+		return 0
+	}
+	return int(min(l.Cur, maxDescriptors))
+}
+
 // readStop reads the times of a planned stop. Their defaults follow from the grace time
 // if there is one, and must fit into it otherwise.
 func (s *Settings) readStop(r *reader) {
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -36,6 +36,8 @@
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
 		callerhttp.WithBodies(d.bodies),
+		callerhttp.WithClients(d.doors.callers),
+		callerhttp.WithMaxFields(d.config.HeaderFields),
 		callerhttp.WithLimits(func() lavenderridge.CallerLimits {
 			if s := d.configuration.store.Snapshot(); s != nil {
 				return s.Catalogue.Callers
@@ -43,6 +45,9 @@
 			return lavenderridge.CallerLimits{}
 		}),
 	}
+	if d.config.SendPause > 0 {
+		o = append(o, callerhttp.WithSendPause(d.config.SendPause))
+	}
 	if d.adapter != nil {
 		o = append(o, callerhttp.WithProtocol(d.adapter.Callers()))
 	}
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -55,6 +55,23 @@
 	// BodyMemory bounds the memory of the bodies of requests and responses; zero means
 	// no bound.
 	BodyMemory lavenderridge.ByteCount
+	// Descriptors is the number of descriptors that the daemon may have; zero means
+	// unknown.
+	Descriptors lavenderridge.Connections
+	// CallerConnections, PeerConnections and OperatorConnections bound the connections of
+	// clients at each address; zero means a share of Descriptors and Memory.
+	// AddressConnections bounds those of callers from one IP address; zero means no bound.
+	CallerConnections   lavenderridge.Connections
+	PeerConnections     lavenderridge.Connections
+	OperatorConnections lavenderridge.Connections
+	AddressConnections  lavenderridge.Connections
+	// HeadMemory bounds the memory of callers' heads beyond what a usual one takes, and
+	// CallMemory that of the calls of other daemons; zero means a share of Memory.
+	HeadMemory, CallMemory lavenderridge.ByteCount
+	// HeaderFields bounds the fields in the header of a request; zero means no bound.
+	HeaderFields int
+	// SendPause is how long a caller may leave a piece of a response; zero means 30 s.
+	SendPause time.Duration
 	// RetryRatio and RetryExtra bound the retries of the whole fleet in any window
 	// of time: the fraction RetryRatio of the requests, plus RetryExtra. If both
 	// are zero, each daemon has a retry budget of its own.
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -35,6 +35,7 @@
 	// adapter is nil unless WithAdapter is used.
 	adapter lavenderridge.Adapter
 	bodies  *policy.BodyBudget
+	doors   *doors
 
 	transport     *peerhttp.Transport
 	server        *peerhttp.Server
@@ -69,7 +70,8 @@
 func (d *Daemon) open(c context.Context, k *peertls.Keys) (e error) {
 	d.records = newOperatorRecords(d, k)
 	metrics.NewRegisteredFunctionalGauge("BodyMemoryBytes", d.metrics, func() int64 { return int64(d.bodies.Used()) })
-	if d.transport, e = peerhttp.NewTransport(d.config.Peer, k, peerhttp.WithMetrics(d.metrics), peerhttp.WithBodies(d.bodies)); e != nil {
+	d.doors = newDoors(d)
+	if d.transport, e = peerhttp.NewTransport(d.config.Peer, k, peerhttp.WithMetrics(d.metrics), peerhttp.WithBodies(d.bodies), peerhttp.WithClients(d.doors.peers)); e != nil {
 		return e
 	}
 	d.closeLater(d.transport.Close)
--- a/internal/daemon/assembly/operatorpart.go
+++ b/internal/daemon/assembly/operatorpart.go
@@ -109,6 +109,8 @@
 	}
 	p.server = operatorhttp.NewServer(l, d.Status,
 		operatorhttp.WithMetrics(d.metrics),
+		operatorhttp.WithClients(d.doors.operators),
+		operatorhttp.WithMaxFields(d.config.HeaderFields),
 		operatorhttp.WithDecisions(func(q operatorhttp.DecisionQuery) []lavenderridge.Decision {
 			return r.journal.Decisions(q.Limit, q.Match)
 		}),
@@ -136,7 +138,8 @@
 		return nil, fmt.Errorf("assembly: metrics address: %w", e)
 	}
 	d.closeLater(l.Close)
-	return operatorhttp.NewServer(l, d.Status, operatorhttp.WithMetrics(d.metrics)), nil
+	return operatorhttp.NewServer(l, d.Status, operatorhttp.WithMetrics(d.metrics),
+		operatorhttp.WithClients(d.doors.metrics), operatorhttp.WithMaxFields(d.config.HeaderFields)), nil
 }
 
 func (p *operatorPart) run(c context.Context) error {
--- /dev/null
+++ b/internal/policy/operator/client.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/lavenderridge/lavenderridge"
+)
+
+const (
+	// minStall is the time without progress from which a connection may be closed for
+	// another one.
+	minStall = 100 * time.Millisecond
+	// bodyStall is that time for the connection of a client who sends a body, and
+	// deliveryStall that of one who reads a response.
+	bodyStall     = 2 * time.Second
+	deliveryStall = 5 * time.Second
+	// servedFactor is how much less a client counts who has sent a whole request.
+	servedFactor = 8
+	// clientMemory is what any connection counts.
+	clientMemory = 24 * lavenderridge.Kibibyte
+)
+
+// A Client is what one connection makes the daemon hold. It is safe for concurrent use. A
+// nil Client has no bound.
+type Client struct {
+	table   *ClientTable
+	address string
+	close   func()
+
+	// progressed is when the client last sent or took something, in Unix nanoseconds.
+	progressed atomic.Int64
+	// held and body are the bytes of heads and messages, and of a body that arrives.
+	held, body atomic.Int64
+	// running is the number of requests that have arrived whole and aren't answered.
+	running atomic.Int32
+	// delivering is set while a response is being written.
+	delivering atomic.Bool
+	served     atomic.Bool
+	gone       atomic.Bool
+}
+
+// Progress notes that the client has sent or taken something at the time t.
+func (c *Client) Progress(t time.Time) {
+	if c != nil {
+		c.progressed.Store(t.UnixNano())
+	}
+}
+
+// Hold takes n bytes more at the time t. If there are too few, it closes those clients
+// that hold most and progress least. It reports false, and takes nothing, if that doesn't
+// suffice.
+func (c *Client) Hold(n lavenderridge.ByteCount, t time.Time) bool {
+	if c == nil || n <= 0 {
+		return true
+	}
+	c.held.Add(int64(n))
+	c.table.used.Add(int64(n))
+	o := c.table.makeRoom(t)
+	if c.gone.Load() {
+		c.Release(n)
+		return false
+	}
+	if !o {
+		c.Release(n)
+		c.table.refused.Add(1)
+		c.table.report()
+	}
+	return o
+}
+
+// Release gives n bytes back.
+func (c *Client) Release(n lavenderridge.ByteCount) {
+	if c == nil {
+		return
+	}
+	for {
+		v := c.held.Load()
+		k := min(v, int64(n))
+		if c.held.CompareAndSwap(v, v-k) {
+			c.table.used.Add(-k)
+			return
+		}
+	}
+}
+
+// Begin notes that a request has arrived whole, and End that it has been answered.
+func (c *Client) Begin() {
+	if c != nil {
+		c.body.Store(0)
+		c.running.Add(1)
+		c.served.Store(true)
+	}
+}
+
+// End is the counterpart of Begin.
+func (c *Client) End() {
+	if c != nil {
+		c.delivering.Store(false)
+		c.running.Add(-1)
+	}
+}
+
+// Deliver notes that the only request has run and its response is being written, from the
+// time t.
+func (c *Client) Deliver(t time.Time) {
+	if c != nil {
+		c.Progress(t)
+		c.delivering.Store(true)
+	}
+}
+
+// ReceiveBody notes that a body for which n bytes are reserved is arriving.
+func (c *Client) ReceiveBody(n lavenderridge.ByteCount) {
+	if c != nil {
+		c.body.Store(int64(n))
+	}
+}
+
+// Relieve closes clients whose bodies have stopped at the time t, until their bodies have
+// n bytes. It reports whether there was one.
+func (c *Client) Relieve(n lavenderridge.ByteCount, t time.Time) bool {
+	return c != nil && c.table.relieve(int64(n), t)
+}
+
+// Leave removes the client from its table and gives back what it holds.
+func (c *Client) Leave() {
+	if c != nil {
+		c.table.leave(c)
+	}
+}
+
+// cost returns how much is gained by closing the connection of the client at the time t:
+// the bytes that it holds times the seconds since its last progress. It returns zero if
+// it must not be closed.
+func (c *Client) cost(t time.Time) float64 {
+	s, m := time.Duration(t.UnixNano()-c.progressed.Load()), minStall
+	switch {
+	case c.delivering.Load():
+		m = deliveryStall
+	case c.running.Load() > 0:
+		return 0
+	case c.body.Load() > 0:
+		m = bodyStall
+	}
+	if s < m {
+		return 0
+	}
+	v := float64(int64(clientMemory)+c.held.Load()+c.body.Load()) * s.Seconds()
+	if c.served.Load() {
+		return v / servedFactor
+	}
+	return v
+}
--- a/internal/transport/callerhttp/departure.go
+++ b/internal/transport/callerhttp/departure.go
@@ -3,23 +3,17 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
-)
-
-type connectionKey struct{}
 
-// withConnection adds the connection n of the requests to their context c.
-func withConnection(c context.Context, n net.Conn) context.Context {
-	return context.WithValue(c, connectionKey{}, n)
-}
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
+)
 
 // callerHasLeft reports whether the caller of the request with the context c has closed
 // its connection. The HTTP library finds out as well, but only while the request is
 // already being handled.
 func callerHasLeft(c context.Context) bool {
-	n, o := c.Value(connectionKey{}).(syscall.Conn)
-	if !o {
+	n := plainhttp.ConnOf(c)
+	if n == nil {
 		return false
 	}
 	r, e := n.SyscallConn()
--- a/internal/transport/callerhttp/option.go
+++ b/internal/transport/callerhttp/option.go
@@ -39,3 +39,19 @@
 func WithBodies(b *operator.BodyBudget) Option {
 	return func(s *Server) { s.bodies = b }
 }
+
+// WithClients makes the server keep its connections in t. By default there is no bound.
+func WithClients(t *operator.ClientTable) Option {
+	return func(s *Server) { s.clients = t }
+}
+
+// WithMaxFields bounds the fields in the header of a request; zero means no bound.
+func WithMaxFields(n int) Option {
+	return func(s *Server) { s.maxFields = n }
+}
+
+// WithSendPause sets how long a caller may leave a piece of a response; the default is
+// 30 s.
+func WithSendPause(d time.Duration) Option {
+	return func(s *Server) { s.sendPause = d }
+}
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -27,6 +27,11 @@
 	// defaultBodyTimeout allows a body of 1 MiB to arrive at 0.3 Mbit/s.
 	defaultBodyTimeout = 30 * time.Second
 	maxHeader          = 64 << 10 // bytes
+	// headSlack is what a head may have beyond the limit of the header, for the request
+	// line and what intermediaries add.
+	headSlack = 4 * lavenderridge.Kibibyte
+	// defaultSendPause is how long a caller may leave a piece of a response.
+	defaultSendPause = 30 * time.Second
 	// stopRetryAfter is what callers are told who arrive during a shutdown. A daemon
 	// that is replaced is back about that long after it has exited.
 	stopRetryAfter = time.Second
@@ -53,6 +58,9 @@
 	bodies        *operator.BodyBudget
 	stopDelay     time.Duration
 	stopping      atomic.Bool
+	clients       *operator.ClientTable
+	maxFields     int
+	sendPause     time.Duration
 	// drain holds the running requests. It is started when the stop delay ends.
 	drain *operator.Drain
 }
@@ -63,13 +71,14 @@
 	s := &Server{
 		handler: h, maxBody: m, bodyTimeout: defaultBodyTimeout, drain: operator.NewDrain(), bodies: operator.NewBodyBudget(0),
 		protocol: Protocol{}, callerService: func() lavenderridge.ServiceID { return "" },
-		limits: func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{} },
+		limits:  func() lavenderridge.CallerLimits { return lavenderridge.CallerLimits{} },
+		clients: operator.NewClientTable(operator.ClientLimits{}, nil), sendPause: defaultSendPause,
 	}
 	for _, f := range o {
 		f(s)
 	}
 	s.Server = kratoshttp.NewServer(
-		kratoshttp.Listener(l),
+		kratoshttp.Listener(plainhttp.NewListener(l, s.clients, s.headLimits, s.sendPause)),
 		kratoshttp.Address(l.Addr().String()),
 		kratoshttp.Timeout(0),
 		// The filter handles requests before they reach the router, which would
@@ -80,11 +89,22 @@
 	s.ReadHeaderTimeout = readHeaderTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeader
-	s.ConnContext = withConnection
+	s.ConnContext = plainhttp.WithConn
 	return s
 }
 
+// headLimits returns the limits of the head of a request.
+func (s *Server) headLimits() operator.HeadLimits {
+	l := operator.HeadLimits{Bytes: maxHeader + headSlack, Fields: s.maxFields}
+	if n := s.limits().Header; n > 0 {
+		l.Bytes = min(l.Bytes, n+headSlack)
+	}
+	return l
+}
+
 func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
+	n := plainhttp.ConnOf(q.Context())
+	n.HeadRead()
 	r, e := s.newRequest(q, time.Now())
 	if e != nil {
 		s.refuseUnread(w, q, r.ID, lavenderridge.AsRefusal(e))
@@ -92,7 +112,7 @@
 	}
 	a := s.bodies.NewAccount()
 	defer a.Close()
-	if r.Body, e = s.readBody(w, q, a); e != nil {
+	if r.Body, e = s.readBody(w, q, a, n.Client()); e != nil {
 		f := bodyRefusal(e)
 		if f.Reason == lavenderridge.ReasonBadRequest {
 			s.writeRefusal(w, r.ID, f)
@@ -108,6 +128,8 @@
 		return
 	}
 	defer s.drain.Leave()
+	n.Client().Begin()
+	defer n.Client().End()
 	if callerHasLeft(q.Context()) {
 		s.writeRefusal(w, r.ID, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonCancelled, "the caller has left"))
 		return
@@ -117,22 +139,29 @@
 		s.writeRefusal(w, r.ID, lavenderridge.AsRefusal(e))
 		return
 	}
+	n.Client().Deliver(time.Now())
 	s.writeResponse(w, p)
 }
 
 // readBody returns the whole body, which must arrive within bodyTimeout. Before it is
-// read, its memory is taken from a, for which it waits for a short time. It
+// read, its memory is taken from a, for which it waits for a short time. If that is in
+// vain, it closes clients whose bodies have stopped, and waits once more. It
 // then clears the read deadline, so that the HTTP library can detect that the
 // caller disconnects while the request runs.
-func (s *Server) readBody(w http.ResponseWriter, q *http.Request, a *operator.BodyAccount) ([]byte, error) {
+func (s *Server) readBody(w http.ResponseWriter, q *http.Request, a *operator.BodyAccount, k *operator.Client) ([]byte, error) {
 	c := http.NewResponseController(w)
 	if e := c.SetReadDeadline(time.Now().Add(s.bodyTimeout)); e != nil {
 		return nil, e
 	}
 	b, e := plainhttp.ReadBody(q.Body, q.ContentLength, s.bodies.LargestRequest(s.bodyLimit()), operator.LargeBody, func(n lavenderridge.ByteCount) error {
-		if e := a.ReserveRequest(q.Context(), n); e != nil {
+		e := a.ReserveRequest(q.Context(), n)
+		if errors.Is(e, context.DeadlineExceeded) && k.Relieve(n, time.Now()) {
+			e = a.ReserveRequest(q.Context(), n)
+		}
+		if e != nil {
 			return errors.Join(errBodyMemory, e)
 		}
+		k.ReceiveBody(n)
 		return nil
 	})
 	if e != nil {
@@ -183,19 +212,20 @@
 // newRequest returns the request that arrived as q at the time t, without its body. It
 // returns the request also with an error, for its ID.
 func (s *Server) newRequest(q *http.Request, t time.Time) (*lavenderridge.Request, error) {
+	n := q.Header["Connection"]
 	r := &lavenderridge.Request{
 		Caller: s.callerService(),
 		Method: q.Method,
 		Host:   q.Host,
 		Path:   requestTarget(q.RequestURI),
-		Header: withoutHopByHop(q.Header),
+		Header: dropHopByHop(q.Header),
 	}
 	if !utf8.ValidString(r.Path) {
 		return r, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonBadRequest, "the path is not valid UTF-8")
 	}
 	e := s.protocol.ReadRequest(r, t)
 	// The protocol has taken its own fields out of the header before.
-	dropNamed(r.Header, q.Header["Connection"])
+	dropNamed(r.Header, n)
 	return r, e
 }
 
@@ -221,14 +251,13 @@
 	}
 }
 
-// withoutHopByHop returns a copy of h without the hop-by-hop fields and
-// Content-Length, which apply to one connection only.
-func withoutHopByHop(h http.Header) lavenderridge.Header {
-	v := maps.Clone(h)
-	for _, k := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"} {
-		delete(v, k)
+// dropHopByHop removes the hop-by-hop fields and Content-Length, which apply to one
+// connection only, from h and returns it.
+func dropHopByHop(h http.Header) lavenderridge.Header {
+	for _, k := range [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"} {
+		delete(h, k)
 	}
-	return lavenderridge.Header(v)
+	return lavenderridge.Header(h)
 }
 
 // dropNamed removes the fields from h that the values l of Connection name.
@@ -241,7 +270,9 @@
 }
 
 func (s *Server) writeResponse(w http.ResponseWriter, p *lavenderridge.Response) {
-	maps.Copy(w.Header(), http.Header(withoutHopByHop(http.Header(p.Header))))
+	// The response may be shared, so its header is copied.
+	maps.Copy(w.Header(), p.Header)
+	dropHopByHop(w.Header())
 	s.protocol.WriteResponse(lavenderridge.Header(w.Header()), p)
 	w.Header().Set("Content-Length", strconv.Itoa(len(p.Body)))
 	s.setConnectionClose(w)
--- a/internal/transport/operatorhttp/option.go
+++ b/internal/transport/operatorhttp/option.go
@@ -4,6 +4,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 )
 
 // An Option configures a Server.
@@ -23,3 +24,13 @@
 func WithMetrics(r metrics.Registry) Option {
 	return func(s *Server) { s.metrics = r }
 }
+
+// WithClients makes the server keep its connections in t. By default there is no bound.
+func WithClients(t *operator.ClientTable) Option {
+	return func(s *Server) { s.clients = t }
+}
+
+// WithMaxFields bounds the fields in the header of a request; zero means no bound.
+func WithMaxFields(n int) Option {
+	return func(s *Server) { s.maxFields = n }
+}
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 // Limits of the time, size and number of requests. Sizes are in bytes.
@@ -32,6 +34,8 @@
 	burn         func() BurnCounts
 	metrics      metrics.Registry
 	requestSlots chan struct{}
+	clients      *operator.ClientTable
+	maxFields    int
 }
 
 // NewServer returns a server on the listener l. The function f returns the
@@ -43,12 +47,13 @@
 		burn:         func() BurnCounts { return BurnCounts{} },
 		metrics:      metrics.NewRegistry(),
 		requestSlots: make(chan struct{}, maxConcurrentRequests),
+		clients:      operator.NewClientTable(operator.ClientLimits{}, nil),
 	}
 	for _, v := range o {
 		v(s)
 	}
 	s.Server = kratoshttp.NewServer(
-		kratoshttp.Listener(l),
+		kratoshttp.Listener(plainhttp.NewListener(l, s.clients, s.headLimits, 0)),
 		kratoshttp.Address(l.Addr().String()),
 		kratoshttp.Timeout(0),
 		kratoshttp.Filter(s.filter),
@@ -56,6 +61,7 @@
 	s.ReadTimeout, s.ReadHeaderTimeout = readTimeout, readTimeout
 	s.WriteTimeout, s.IdleTimeout = writeTimeout, idleTimeout
 	s.MaxHeaderBytes = maxHeaderSize
+	s.ConnState, s.ConnContext = plainhttp.ConnState, plainhttp.WithConn
 	s.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
 	s.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.burn()) })
 	s.HandleFunc("/decisions", s.serveDecisions)
@@ -65,6 +71,11 @@
 	return s
 }
 
+// headLimits returns the limits of the head of a request.
+func (s *Server) headLimits() operator.HeadLimits {
+	return operator.HeadLimits{Bytes: maxHeaderSize, Fields: s.maxFields}
+}
+
 // Run serves requests until c is cancelled.
 func (s *Server) Run(c context.Context) error {
 	x := context.WithoutCancel(c)
@@ -86,6 +97,8 @@
 // more than maxConcurrentRequests at a time.
 func (s *Server) filter(n http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		k := plainhttp.ConnOf(q.Context())
+		k.HeadRead()
 		if q.Method != http.MethodGet && q.Method != http.MethodHead {
 			http.Error(w, "only GET and HEAD are allowed", http.StatusMethodNotAllowed)
 			return
@@ -97,6 +110,8 @@
 		select {
 		case s.requestSlots <- struct{}{}:
 			defer func() { <-s.requestSlots }()
+			k.Client().Begin()
+			defer k.Client().End()
 			n.ServeHTTP(w, q)
 		default:
 			http.Error(w, "too many concurrent requests", http.StatusServiceUnavailable)
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -26,10 +26,19 @@
 	// memoryRetryAfter is what the refusal of a request advises for whose body there is
 	// no memory.
 	memoryRetryAfter = time.Second
+	// callMemory is what a call of another daemon takes beside its message: a goroutine
+	// and the buffers of its stream.
+	callMemory = 12 * lavenderridge.Kibibyte
+	// smallMessage is the size up to which a message has no further buffer.
+	smallMessage = 4 * lavenderridge.Kibibyte
+	// maxCallHeader bounds, in bytes, the header of a call, which has a few fields of this
+	// package.
+	maxCallHeader = 8 << 10
 )
 
 var (
 	errFrame          = errors.New("peerhttp: the size of the body is wrong")
+	errCallMemory     = errors.New("peerhttp: the calls of daemons need too much memory")
 	errResponseMemory = errors.New("peerhttp: the bodies of responses need too much memory")
 )
 
@@ -87,19 +96,20 @@
 }
 
 // receiveFrame reads a message of at most m bytes from r, and the body of b bytes that
-// follows it. Together they have n bytes.
-func receiveFrame(r io.Reader, n, b int64, m lavenderridge.ByteCount) (*frame, error) {
+// follows it. Together they have n bytes. Before a further buffer is allocated for the
+// message, the function f is called with its size.
+func receiveFrame(r io.Reader, n, b int64, m lavenderridge.ByteCount, f func(lavenderridge.ByteCount) error) (*frame, error) {
 	if b == 0 {
-		v, e := receive(r, m)
+		v, e := receive(r, n, m, f)
 		return &frame{message: v}, e
 	}
-	v, e := receive(io.LimitReader(r, n-b), m)
+	v, e := receive(io.LimitReader(r, n-b), n-b, m, f)
 	if e != nil {
 		return nil, e
 	}
-	f := &frame{message: v, body: make([]byte, b)}
-	_, e = io.ReadFull(r, f.body)
-	return f, e
+	d := &frame{message: v, body: make([]byte, b)}
+	_, e = io.ReadFull(r, d.body)
+	return d, e
 }
 
 // reserveRequest reserves the memory for the body of n bytes of a request. It returns a
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -186,7 +186,7 @@
 			return nil, errors.Join(errResponseMemory, e)
 		}
 	}
-	return receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage)
+	return receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage, unbounded)
 }
 
 func (l *link) beginCall() {
@@ -302,3 +302,8 @@
 	}
 	return r
 }
+
+// unbounded allows any buffer.
+func unbounded(lavenderridge.ByteCount) error {
+	return nil
+}
--- a/internal/transport/peerhttp/option.go
+++ b/internal/transport/peerhttp/option.go
@@ -33,3 +33,9 @@
 func WithBodies(b *operator.BodyBudget) Option {
 	return func(t *Transport) { t.bodies = b }
 }
+
+// WithClients makes the transport keep the connections of other daemons in c. By default
+// there is no bound.
+func WithClients(c *operator.ClientTable) Option {
+	return func(t *Transport) { t.clients = c }
+}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -32,16 +32,17 @@
 	stopper   *plainhttp.Stopper
 	activity  activity
 	// onSent is called with the size of each response body that has been written.
-	onSent func(lavenderridge.ByteCount)
+	onSent  func(lavenderridge.ByteCount)
+	clients *operator.ClientTable
 }
 
 // NewServer returns a server that passes the calls received by t to the peer p.
 // After each call, when the reply has been written or its write has failed, it
 // calls f with the size of the response body, which is 0 if there is no response.
 func NewServer(t *Transport, p lavenderridge.Peer, f func(lavenderridge.ByteCount)) *Server {
-	s := &Server{transport: t, peer: p, onSent: f}
+	s := &Server{transport: t, peer: p, onSent: f, clients: t.clients}
 	s.http = kratoshttp.NewServer(
-		kratoshttp.Listener(t.listener),
+		kratoshttp.Listener(plainhttp.NewListener(t.listener, s.clients, nil, 0)),
 		kratoshttp.Address(string(t.Address())),
 		kratoshttp.Timeout(0),
 		kratoshttp.TLSConfig(s.tlsConfig()),
@@ -52,7 +53,9 @@
 		MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTimeout, PingTimeout: dialTimeout, WriteByteTimeout: writeTimeout,
 	}
 	s.http.ReadHeaderTimeout = dialTimeout
-	s.http.ConnContext = func(c context.Context, _ net.Conn) context.Context {
+	s.http.MaxHeaderBytes = maxCallHeader
+	s.http.ConnContext = func(c context.Context, n net.Conn) context.Context {
+		c = context.WithValue(c, clientKey{}, clientOf(n))
 		return context.WithValue(c, verifiedPeerKey{}, &peertls.VerifiedPeer{})
 	}
 	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
@@ -110,9 +113,41 @@
 	return v
 }
 
-// serveHTTP handles one call. A call that did not arrive completely gets no reply:
-// its stream is reset.
+// clientKey is the context key of the operator.Client of a connection.
+type clientKey struct{}
+
+// clientOf returns the client of the encrypted connection n.
+func clientOf(n net.Conn) *operator.Client {
+	t, o := n.(*tls.Conn)
+	if !o {
+		return nil
+	}
+	v, _ := t.NetConn().(*plainhttp.Conn)
+	return v.Client()
+}
+
+// serveHTTP handles one call if there is memory for it. A call of a daemon that holds
+// more than it may is refused.
 func (s *Server) serveHTTP(w http.ResponseWriter, q *http.Request) {
+	k, _ := q.Context().Value(clientKey{}).(*operator.Client)
+	if !k.Hold(callMemory, time.Now()) {
+		writeReply(w, encodeRefusal(newOverloaded()))
+		return
+	}
+	defer k.Release(callMemory)
+	s.serveCall(w, q, k)
+}
+
+// newOverloaded returns the refusal of a call for which there is no memory.
+func newOverloaded() *lavenderridge.Refusal {
+	r := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "the calls of daemons need too much memory")
+	r.RetryAfter = memoryRetryAfter
+	return r
+}
+
+// serveCall handles one call of the client k. A call that did not arrive completely gets
+// no reply: its stream is reset.
+func (s *Server) serveCall(w http.ResponseWriter, q *http.Request, k *operator.Client) {
 	i, e := verifiedPeer(q.Context()).Verify(s.transport.keys, *q.TLS, time.Now())
 	if e != nil {
 		w.WriteHeader(http.StatusForbidden)
@@ -132,10 +167,23 @@
 		}
 		c = operator.WithBodyAccount(c, a)
 	}
-	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage)
+	var n lavenderridge.ByteCount
+	defer func() { k.Release(n) }()
+	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage, func(v lavenderridge.ByteCount) error {
+		if !k.Hold(v, time.Now()) {
+			return errCallMemory
+		}
+		n += v
+		return nil
+	})
+	if errors.Is(e, errCallMemory) {
+		writeReply(w, encodeRefusal(newOverloaded()))
+		return
+	}
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
+	k.Begin()
 	// A call counts as activity only when its body is complete. On a half-open
 	// connection that never happens, and the call must not delay the shutdown.
 	s.activity.begin()
@@ -146,8 +194,9 @@
 	if h := q.Header.Get(readField); h != "" {
 		c = context.WithValue(c, readForKey{}, h)
 	}
-	p, n, e := s.handleMessage(c, f, o, i)
-	defer func() { s.onSent(n) }()
+	p, v, e := s.handleMessage(c, f, o, i)
+	k.End()
+	defer func() { s.onSent(v) }()
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -65,6 +65,7 @@
 	keys       *peertls.Keys
 	maxMessage lavenderridge.ByteCount
 	bodies     *operator.BodyBudget
+	clients    *operator.ClientTable
 	probeDelay time.Duration
 	registry   metrics.Registry
 	counters   counters
@@ -92,7 +93,7 @@
 		return nil, errors.Join(e, l.Close())
 	}
 	t := &Transport{
-		http: h, keys: k, bodies: operator.NewBodyBudget(0),
+		http: h, keys: k, bodies: operator.NewBodyBudget(0), clients: operator.NewClientTable(operator.ClientLimits{}, nil),
 		maxMessage: defaultMaxMessage, probeDelay: defaultProbeDelay, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
--- a/internal/transport/plainhttp/stopper.go
+++ b/internal/transport/plainhttp/stopper.go
@@ -36,6 +36,7 @@
 }
 
 func (s *Stopper) track(n net.Conn, t http.ConnState) {
+	ConnState(n, t)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if t == http.StateActive {
