--- a/internal/cmd/lavenderridge/crowds_test.go
+++ b/internal/cmd/lavenderridge/crowds_test.go
@@ -210,9 +210,10 @@
 	f := 0
 	c.settle(func() { f = max(f, p.descriptors()) })
 	var r strings.Builder
+	failed := false
 	check := func(o bool, w, n string) {
 		if !o {
-			w = n
+			w, failed = n, true
 		}
 		_, _ = fmt.Fprintln(&r, w)
 	}
@@ -226,7 +227,7 @@
 	check(a, "an ordinary request is answered", "an ordinary request isn't answered")
 	check(ready, "readiness is answered", "readiness isn't answered")
 	check(v && p.stop(), "it ends beside the crowd", "it doesn't end beside the crowd")
-	if t.Failed() || !v {
+	if failed {
 		t.Logf("%s", p.output)
 	}
 	return r.String()
--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -13,15 +13,21 @@
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"go.uber.org/zap"
 
+	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/cmd/settings"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/operator"
 	"github.com/lavenderridge/lavenderridge/platform"
 )
 
-// memoryLimitTenths is the part of the daemon's memory, in tenths, from which the garbage
-// collector works harder. The rest is for what the runtime doesn't count.
-const memoryLimitTenths = 9
+const (
+	// memoryLimitTenths is the part of the daemon's memory, in tenths, from which the
+	// garbage collector works harder. The rest is for what the runtime doesn't count.
+	memoryLimitTenths = 9
+	// uncountedMemory is what the runtime doesn't count at least, the program's own pages
+	// above all.
+	uncountedMemory = 24 * lavenderridge.Mebibyte
+)
 
 // serveCmd runs the daemon until it receives SIGTERM or SIGINT.
 type serveCmd struct {
@@ -59,7 +65,7 @@
 	defer g.Wait()
 	defer n()
 	if v.Daemon.Memory > 0 {
-		debug.SetMemoryLimit(int64(v.Daemon.Memory) / 10 * memoryLimitTenths)
+		debug.SetMemoryLimit(int64(memoryLimit(v.Daemon.Memory)))
 	}
 	l := v.Log.Logger(w)
 	kratoslog.SetLogger(kratosLogger{log: l})
@@ -83,3 +89,9 @@
 	})
 	return d.Run(c)
 }
+
+// memoryLimit returns the part of the memory m from which the garbage collector works
+// harder.
+func memoryLimit(m lavenderridge.ByteCount) lavenderridge.ByteCount {
+	return max(min(m/10*memoryLimitTenths, m-uncountedMemory), m/2)
+}
--- a/internal/daemon/assembly/doors.go
+++ b/internal/daemon/assembly/doors.go
@@ -47,10 +47,10 @@
 // that a limit has been met.
 func newDoor(d *Daemon, n string, l policy.ClientLimits) *policy.ClientTable {
 	var t *policy.ClientTable
-	var next atomic.Int64 // in Unix nanoseconds
+	var x atomic.Int64 // when the next line may be logged, in Unix nanoseconds
 	t = policy.NewClientTable(l, func() {
-		v, m := next.Load(), d.clock.Now()
-		if m.UnixNano() < v || !next.CompareAndSwap(v, m.Add(limitLogInterval).UnixNano()) {
+		v, m := x.Load(), d.clock.Now()
+		if m.UnixNano() < v || !x.CompareAndSwap(v, m.Add(limitLogInterval).UnixNano()) {
 			return
 		}
 		d.log.Warn("ClientLimit", zap.String("Address", n), zap.Int64("Closed", t.Closed()), zap.Int64("Refused", t.Refused()))
--- a/internal/policy/operator/client.go
+++ b/internal/policy/operator/client.go
@@ -15,7 +15,12 @@
 	// deliveryStall that of one who reads a response.
 	bodyStall     = 2 * time.Second
 	deliveryStall = 5 * time.Second
-	// servedFactor is how much less a client counts who has sent a whole request.
+	// servedStall is that time for a client who has been served before.
+	servedStall = time.Second
+	// maxUntaken is how many answers may be handed to a connection until the client is
+	// seen to take them.
+	maxUntaken = 8
+	// servedFactor is how much less a client counts who has been served before.
 	servedFactor = 8
 	// clientMemory is what any connection counts.
 	clientMemory = 24 * lavenderridge.Kibibyte
@@ -34,6 +39,8 @@
 	held, body atomic.Int64
 	// running is the number of requests that have arrived whole and aren't answered.
 	running atomic.Int32
+	// untaken is the number of answers since the client was last seen to take one.
+	untaken atomic.Int32
 	// delivering is set while a response is being written.
 	delivering atomic.Bool
 	served     atomic.Bool
@@ -89,7 +96,6 @@
 	if c != nil {
 		c.body.Store(0)
 		c.running.Add(1)
-		c.served.Store(true)
 	}
 }
 
@@ -110,6 +116,28 @@
 	}
 }
 
+// Served notes that the client has taken a whole answer at the time t.
+func (c *Client) Served(t time.Time) {
+	if c != nil {
+		c.Progress(t)
+		c.served.Store(true)
+	}
+}
+
+// Answered notes that an answer has been handed to the connection, which may hold it
+// until the client takes it. It reports whether the client must take it before anything
+// else is given to it, since it has not been seen to take the latest ones.
+func (c *Client) Answered() bool {
+	return c != nil && c.untaken.Add(1) > maxUntaken
+}
+
+// Taken notes that the client has taken its answers by the time t.
+func (c *Client) Taken(t time.Time) {
+	if c != nil && c.untaken.Swap(0) > 0 {
+		c.Served(t)
+	}
+}
+
 // ReceiveBody notes that a body for which n bytes are reserved is arriving.
 func (c *Client) ReceiveBody(n lavenderridge.ByteCount) {
 	if c != nil {
@@ -142,6 +170,8 @@
 		return 0
 	case c.body.Load() > 0:
 		m = bodyStall
+	case c.served.Load():
+		m = servedStall
 	}
 	if s < m {
 		return 0
--- a/internal/policy/operator/doorlimits.go
+++ b/internal/policy/operator/doorlimits.go
@@ -13,14 +13,14 @@
 	connectionMemoryShare = 0.25 // of the memory, for the connections of callers
 	headMemoryShare       = 1.0 / 16
 	callMemoryShare       = 1.0 / 8
-	peerMemoryShare       = 1.0 / 8 // for the connections of daemons
+	peerMemoryShare       = 1.0 / 6 // for the connections of daemons
 	operatorMemoryShare   = 1.0 / 64
 )
 
 // Memory of one open connection without what its client sends.
 const (
 	callerConnection = 24 * lavenderridge.Kibibyte
-	peerConnection   = 48 * lavenderridge.Kibibyte
+	peerConnection   = 96 * lavenderridge.Kibibyte
 )
 
 // DoorLimits are the limits of all doors of a daemon.
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -26,6 +26,12 @@
 	maxConcurrentRequests = 16
 )
 
+// Paths that are answered however many other requests there are.
+const (
+	healthPath = "/healthz"
+	readyPath  = "/readyz"
+)
+
 // A Server serves read-only views of one daemon to operators.
 type Server struct {
 	*kratoshttp.Server
@@ -66,8 +72,8 @@
 	s.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.burn()) })
 	s.HandleFunc("/decisions", s.serveDecisions)
 	s.HandleFunc("/metrics", s.serveMetrics)
-	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
-	s.HandleFunc("/readyz", s.serveReady)
+	s.HandleFunc(healthPath, func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
+	s.HandleFunc(readyPath, s.serveReady)
 	return s
 }
 
@@ -94,7 +100,7 @@
 }
 
 // filter refuses methods other than GET and HEAD, requests with a body, and
-// more than maxConcurrentRequests at a time.
+// more than maxConcurrentRequests at a time, except for health and readiness.
 func (s *Server) filter(n http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		k := plainhttp.ConnOf(q.Context())
@@ -107,11 +113,16 @@
 			http.Error(w, "no body is allowed", http.StatusRequestEntityTooLarge)
 			return
 		}
+		if q.URL.Path == readyPath || q.URL.Path == healthPath {
+			n.ServeHTTP(w, q)
+			return
+		}
 		select {
 		case s.requestSlots <- struct{}{}:
 			defer func() { <-s.requestSlots }()
 			k.Client().Begin()
 			defer k.Client().End()
+			k.Client().Deliver(time.Now())
 			n.ServeHTTP(w, q)
 		default:
 			http.Error(w, "too many concurrent requests", http.StatusServiceUnavailable)
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -28,7 +28,7 @@
 	memoryRetryAfter = time.Second
 	// callMemory is what a call of another daemon takes beside its message: a goroutine
 	// and the buffers of its stream.
-	callMemory = 12 * lavenderridge.Kibibyte
+	callMemory = 32 * lavenderridge.Kibibyte
 	// smallMessage is the size up to which a message has no further buffer.
 	smallMessage = 4 * lavenderridge.Kibibyte
 	// maxCallHeader bounds, in bytes, the header of a call, which has a few fields of this
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -131,11 +131,25 @@
 func (s *Server) serveHTTP(w http.ResponseWriter, q *http.Request) {
 	k, _ := q.Context().Value(clientKey{}).(*operator.Client)
 	if !k.Hold(callMemory, time.Now()) {
-		writeReply(w, encodeRefusal(newOverloaded()))
+		refuseCall(w, k)
 		return
 	}
 	defer k.Release(callMemory)
 	s.serveCall(w, q, k)
+	// The library writes a small reply after its handler has returned. The further frame
+	// that Flush costs is spared while the client is known to take its replies.
+	if k.Answered() && http.NewResponseController(w).Flush() == nil {
+		k.Taken(time.Now())
+	}
+}
+
+// refuseCall refuses a call of the client k for which there is no memory. If k doesn't
+// take its refusals, the stream is reset.
+func refuseCall(w http.ResponseWriter, k *operator.Client) {
+	if k.Answered() {
+		panic(http.ErrAbortHandler)
+	}
+	writeReply(w, encodeRefusal(newOverloaded()))
 }
 
 // newOverloaded returns the refusal of a call for which there is no memory.
@@ -177,7 +191,7 @@
 		return nil
 	})
 	if errors.Is(e, errCallMemory) {
-		writeReply(w, encodeRefusal(newOverloaded()))
+		refuseCall(w, k)
 		return
 	}
 	if e != nil {
--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -51,7 +51,7 @@
 	maxDials = 64
 	// maxStreams bounds the concurrent calls of one daemon to another. It is far
 	// above the slots of a backend server plus the requests queued for them.
-	maxStreams = 1024
+	maxStreams = 256
 	// remoteAlertOperation is the Op of the net.OpError with which crypto/tls
 	// reports an alert that the peer sent.
 	remoteAlertOperation = "remote error"
--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -75,6 +76,7 @@
 func (n *Conn) nextHead() {
 	n.client.Release(n.held)
 	n.client.ReceiveBody(0)
+	n.client.Served(time.Now())
 	n.held = 0
 	n.meter.Reset()
 	n.inHead.Store(n.listener.heads != nil)
@@ -86,11 +88,11 @@
 		return 0, io.EOF
 	}
 	k, e := n.Conn.Read(b)
-	if k == 0 {
+	if k == 0 || n.listener.heads == nil {
 		return k, e
 	}
 	t, h := time.Now(), n.inHead.Load()
-	if h || k >= minProgress || n.listener.heads == nil {
+	if h || k >= minProgress {
 		n.client.Progress(t)
 	}
 	if h && !n.admit(b[:k], t) {
@@ -195,7 +197,15 @@
 
 // ConnState follows the requests of the connection n; it is an http.Server.ConnState.
 func ConnState(n net.Conn, t http.ConnState) {
-	if c, o := n.(*Conn); o && t == http.StateIdle {
+	if t != http.StateIdle {
+		return
+	}
+	switch c := n.(type) {
+	case *Conn:
 		c.nextHead()
+	case *tls.Conn:
+		if v, o := c.NetConn().(*Conn); o {
+			v.client.Taken(time.Now())
+		}
 	}
 }
