--- a/internal/cmd/lavenderridge/crowds_test.go
+++ b/internal/cmd/lavenderridge/crowds_test.go
@@ -51,6 +51,12 @@
 Connections = 130
 Queue = 20
 
+[[Services]]
+ID = "front"
+Slots = 10
+Connections = 130
+Queue = 20
+
 [[Entries]]
 ID = "roster"
 Owner = "courses"
@@ -61,12 +67,12 @@
 Timeout = "2s"
 `
 
-// crowdSettings are the settings of the process. Its arguments are the addresses of the
-// configuration service, the backend server, callers, daemons, operators and metrics.
+// crowdSettings are the settings of the process. Its arguments are the instance, its
+// service, the addresses of the configuration service, the backend server, callers, daemons, operators and metrics.
 const crowdSettings = `
-Instance = "roster-0"
+Instance = %q
 DataCentre = "fukuoka"
-Service = "roster"
+Service = %q
 [ConfigService]
 Address = %q
 [Backend]
@@ -94,41 +100,59 @@
 	ended  chan struct{}
 }
 
-// startCrowdProcess starts the daemon with the program b and waits until it serves.
-func startCrowdProcess(t *testing.T, b string) *crowdProcess {
+// crowdSite is what the daemons of a test run beside.
+type crowdSite struct {
+	binary, source, backend string
+	instances               []lavenderridge.Instance
+}
+
+// newCrowdSite starts a backend server and a configuration service that lists one
+// instance for each of the services l.
+func newCrowdSite(t *testing.T, b string, l ...lavenderridge.ServiceID) *crowdSite {
 	t.Helper()
-	s := backendserver.NewServer("roster-0", 10, time.Millisecond)
+	v := backendserver.NewServer("roster-0", 10, time.Millisecond)
 	x := bytes.Repeat([]byte("x"), largeResponse)
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Path == largeResponsePath {
 			_, _ = w.Write(x)
 			return
 		}
-		s.ServeHTTP(w, q)
+		v.ServeHTTP(w, q)
 	}))
 	t.Cleanup(backend.Close)
 	source := configservice.NewServer(0)
 	h := httptest.NewServer(source)
 	t.Cleanup(h.Close)
-	p := &crowdProcess{doors: map[string]string{}, output: &bytes.Buffer{}, ended: make(chan struct{})}
-	for _, n := range []string{"callers", "peers", "operators", "metrics"} {
-		p.doors[n] = freeAddress(t)
+	s := &crowdSite{binary: b, source: h.Listener.Addr().String(), backend: backend.Listener.Addr().String()}
+	for _, n := range l {
+		s.instances = append(s.instances, lavenderridge.Instance{
+			ID: lavenderridge.InstanceID(n + "-0"), DataCentre: "fukuoka", Service: n,
+			Peer: lavenderridge.Address(freeAddress(t)), State: lavenderridge.InstanceLive,
+		})
 	}
-	l, e := instancesjson.Format(&lavenderridge.InstanceList{Instances: []lavenderridge.Instance{{
-		ID: "roster-0", DataCentre: "fukuoka", Service: "roster", Peer: lavenderridge.Address(p.doors["peers"]), State: lavenderridge.InstanceLive,
-	}}})
+	d, e := instancesjson.Format(&lavenderridge.InstanceList{Instances: s.instances})
 	if e != nil {
 		t.Fatal(e)
 	}
-	source.Publish(lavenderridge.DocumentInstanceList, l)
+	source.Publish(lavenderridge.DocumentInstanceList, d)
 	source.Publish(lavenderridge.DocumentCatalogue, []byte(crowdCatalogue))
+	return s
+}
+
+// start starts the daemon of the instance n.
+func (s *crowdSite) start(t *testing.T, n lavenderridge.Instance) *crowdProcess {
+	t.Helper()
+	p := &crowdProcess{doors: map[string]string{"peers": string(n.Peer)}, output: &bytes.Buffer{}, ended: make(chan struct{})}
+	for _, d := range []string{"callers", "operators", "metrics"} {
+		p.doors[d] = freeAddress(t)
+	}
 	f := filepath.Join(t.TempDir(), "settings.toml")
-	c := fmt.Appendf(nil, crowdSettings, h.Listener.Addr(), backend.Listener.Addr(),
+	c := fmt.Appendf(nil, crowdSettings, n.ID, n.Service, s.source, s.backend,
 		p.doors["callers"], p.doors["peers"], p.doors["operators"], p.doors["metrics"], crowdMemoryMegabytes)
 	if e := os.WriteFile(f, c, 0o600); e != nil {
 		t.Fatal(e)
 	}
-	p.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" serve "$1"`, crowdDescriptors), b, f)
+	p.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" serve "$1"`, crowdDescriptors), s.binary, f)
 	p.command.Stdout, p.command.Stderr = p.output, p.output
 	if e := p.command.Start(); e != nil {
 		t.Fatal(e)
@@ -141,6 +165,15 @@
 		_ = p.command.Process.Kill()
 		<-p.ended
 	})
+	return p
+}
+
+// startCrowdProcess starts the only daemon of a site with the program b and waits until
+// it serves.
+func startCrowdProcess(t *testing.T, b string) *crowdProcess {
+	t.Helper()
+	s := newCrowdSite(t, b, "roster")
+	p := s.start(t, s.instances[0])
 	if !p.answered("/roster/1", "callers") {
 		t.Fatalf("the daemon doesn't serve before the crowd\n%s", p.output)
 	}
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -23,6 +23,7 @@
 	idleTimeout           = time.Minute
 	stopTimeout           = time.Second
 	maxHeaderSize         = 16 << 10
+	headSlack             = 4 << 10 // for the request line
 	maxConcurrentRequests = 16
 )
 
@@ -79,7 +80,7 @@
 
 // headLimits returns the limits of the head of a request.
 func (s *Server) headLimits() operator.HeadLimits {
-	return operator.HeadLimits{Bytes: maxHeaderSize, Fields: s.maxFields}
+	return operator.HeadLimits{Bytes: maxHeaderSize + headSlack, Fields: s.maxFields}
 }
 
 // Run serves requests until c is cancelled.
