--- a/internal/cmd/lavenderridge/peercrowd_test.go
+++ b/internal/cmd/lavenderridge/peercrowd_test.go
@@ -22,7 +22,24 @@
 	"half-hello":  func(n net.Conn, _ int) { _, _ = n.Write([]byte{22, 3, 1, 2, 0, 1, 0, 1, 252, 3, 3}) },
 	"large-hello": func(n net.Conn, _ int) { endless(n, "\x16\x03\x01\x40\x00\x01\x00\xff\xfc\x03\x03", "aaaaaaaa") },
 	"plain":       func(n net.Conn, _ int) { endless(n, "GET / HTTP/1.1\r\n", "x: y\r\n") },
-	"handshake":   func(n net.Conn, _ int) { newFrames(n) },
+	// Heads of HTTP/1 inside the encryption, with many short fields.
+	"older-protocol": func(n net.Conn, i int) {
+		if c := newTLS(n, "http/1.1"); c != nil {
+			stopShort(c, legalHead, func(j int) string { return strconv.Itoa(j) + ":\n" })
+		}
+	},
+	// Messages with a large body that stops short.
+	"bodies": func(n net.Conn, _ int) {
+		f := newFrames(n)
+		for s := range 20 {
+			if !f.head(s, legalBody, func(h *hpack.Encoder) {
+				_ = h.WriteField(hpack.HeaderField{Name: "lavenderridge-body", Value: strconv.Itoa(legalBody - 100)})
+			}) || !f.data(s, 16<<10) {
+				return
+			}
+		}
+	},
+	"handshake": func(n net.Conn, _ int) { newFrames(n) },
 	// Streams with a message that stops short.
 	"streams": func(n net.Conn, _ int) {
 		f := newFrames(n)
@@ -119,20 +136,33 @@
 	encoder *hpack.Encoder
 }
 
-// newFrames does the handshake on n with a certificate that anyone can make, and returns
-// the frames that follow, or nil if the handshake fails. Nobody reads what the daemon
-// sends.
-func newFrames(n net.Conn) *frames {
+// newTLS does the handshake for the protocol a on n, with a certificate that anyone can
+// make. It returns nil if that fails.
+func newTLS(n net.Conn, a string) *tls.Conn {
 	k, e := peertls.NewEphemeralKeys(peertls.Identity{Instance: "stranger", DataCentre: "elsewhere"}, time.Now())
 	if e != nil {
 		return nil
 	}
-	c := tls.Client(n, k.ClientConfig(http2.NextProtoTLS, "roster-0"))
+	f := k.ClientConfig(a, "roster-0")
+	if a != http2.NextProtoTLS {
+		f.NextProtos = nil
+	}
+	c := tls.Client(n, f)
 	_ = n.SetDeadline(time.Now().Add(10 * time.Second))
 	if e := c.Handshake(); e != nil {
 		return nil
 	}
 	_ = n.SetDeadline(time.Time{})
+	return c
+}
+
+// newFrames does the handshake on n and returns the frames that follow, or nil if that
+// fails. Nobody reads what the daemon sends.
+func newFrames(n net.Conn) *frames {
+	c := newTLS(n, http2.NextProtoTLS)
+	if c == nil {
+		return nil
+	}
 	if _, e := io.WriteString(c, http2.ClientPreface); e != nil {
 		return nil
 	}
--- a/internal/daemon/assembly/doors.go
+++ b/internal/daemon/assembly/doors.go
@@ -30,10 +30,12 @@
 	set(&l.Callers.Memory, f.HeadMemory)
 	set(&l.Peers.Memory, f.CallMemory)
 	l.Callers.AddressConnections = f.AddressConnections
-	return &doors{
+	r := &doors{
 		callers: newDoor(d, "Caller", l.Callers), peers: newDoor(d, "Peer", l.Peers),
 		operators: newDoor(d, "Operator", l.Operators), metrics: newDoor(d, "Metrics", l.Operators),
 	}
+	r.callers.Pair(r.peers)
+	return r
 }
 
 // set sets *a to b unless that is zero.
--- a/internal/policy/operator/client.go
+++ b/internal/policy/operator/client.go
@@ -94,7 +94,6 @@
 // Begin notes that a request has arrived whole, and End that it has been answered.
 func (c *Client) Begin() {
 	if c != nil {
-		c.body.Store(0)
 		c.running.Add(1)
 	}
 }
@@ -138,15 +137,28 @@
 	}
 }
 
-// ReceiveBody notes that a body for which n bytes are reserved is arriving.
+// ReceiveBody notes that n bytes are reserved for a body that arrives, and EndBody that
+// they no longer are, or that the body has arrived.
 func (c *Client) ReceiveBody(n lavenderridge.ByteCount) {
 	if c != nil {
-		c.body.Store(int64(n))
+		c.body.Add(int64(n))
 	}
 }
 
+// EndBody is the counterpart of ReceiveBody.
+func (c *Client) EndBody(n lavenderridge.ByteCount) {
+	if c != nil {
+		c.body.Add(-int64(n))
+	}
+}
+
+// ReceivesBody reports whether a body arrives.
+func (c *Client) ReceivesBody() bool {
+	return c != nil && c.body.Load() > 0
+}
+
 // Relieve closes clients whose bodies have stopped at the time t, until their bodies have
-// n bytes. It reports whether there was one.
+// n bytes, also those of the partner of the table. It reports whether there was one.
 func (c *Client) Relieve(n lavenderridge.ByteCount, t time.Time) bool {
 	return c != nil && c.table.relieve(int64(n), t)
 }
--- a/internal/policy/operator/clienttable.go
+++ b/internal/policy/operator/clienttable.go
@@ -16,6 +16,8 @@
 // request runs. The path of an ordinary request takes no lock.
 type ClientTable struct {
 	limits ClientLimits
+	// partner is another table whose clients' bodies come out of the same budget, or nil.
+	partner *ClientTable
 	// onLimit is called when a client was refused or closed.
 	onLimit         func()
 	used            atomic.Int64 // bytes
@@ -35,6 +37,11 @@
 	return &ClientTable{limits: l, onLimit: f, clients: make(map[*Client]struct{}), addresses: make(map[string]int)}
 }
 
+// Pair makes l and o partners. It must be called before there are clients.
+func (l *ClientTable) Pair(o *ClientTable) {
+	l.partner, o.partner = o, l
+}
+
 // Enter adds the connection of a client from the address a at the time t. It returns nil
 // if there is no room and none can be made. The function f closes the connection.
 func (l *ClientTable) Enter(a string, t time.Time, f func()) *Client {
@@ -110,7 +117,7 @@
 		return true
 	}
 	for l.used.Load() > m {
-		if !l.closeWorst(t, func(c *Client) bool { return c.held.Load() > 0 }) {
+		if l.closeWorst(t, func(c *Client) bool { return c.held.Load() > 0 }) == nil {
 			return false
 		}
 	}
@@ -120,33 +127,31 @@
 // relieve closes clients with stopped bodies until these have n bytes.
 func (l *ClientTable) relieve(n int64, t time.Time) bool {
 	o := false
-	for n > 0 {
-		var k int64
-		if !l.closeWorst(t, func(c *Client) bool {
-			k = c.body.Load()
-			return k > 0
-		}) {
-			break
+	for _, a := range []*ClientTable{l, l.partner} {
+		for a != nil && n > 0 {
+			v := a.closeWorst(t, func(c *Client) bool { return c.body.Load() > 0 })
+			if v == nil {
+				break
+			}
+			o, n = true, n-max(v.body.Load(), 1)
 		}
-		o, n = true, n-max(k, 1)
 	}
 	return o
 }
 
-// closeWorst closes the client that is worst of those for which f is true. It reports
-// false if there is none.
-func (l *ClientTable) closeWorst(t time.Time, f func(c *Client) bool) bool {
+// closeWorst closes the client that is worst of those for which f is true, and returns it,
+// or nil if there is none.
+func (l *ClientTable) closeWorst(t time.Time, f func(c *Client) bool) *Client {
 	l.mutex.Lock()
 	v := l.worst(t, f)
 	if v != nil {
 		l.remove(v)
 	}
 	l.mutex.Unlock()
-	if v == nil {
-		return false
+	if v != nil {
+		l.end(v)
 	}
-	l.end(v)
-	return true
+	return v
 }
 
 // worst returns the client with the greatest cost at the time t of those for which f is
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -153,6 +153,8 @@
 	if e := c.SetReadDeadline(time.Now().Add(s.bodyTimeout)); e != nil {
 		return nil, e
 	}
+	var v lavenderridge.ByteCount
+	defer func() { k.EndBody(v) }()
 	b, e := plainhttp.ReadBody(q.Body, q.ContentLength, s.bodies.LargestRequest(s.bodyLimit()), operator.LargeBody, func(n lavenderridge.ByteCount) error {
 		e := a.ReserveRequest(q.Context(), n)
 		if errors.Is(e, context.DeadlineExceeded) && k.Relieve(n, time.Now()) {
@@ -162,6 +164,7 @@
 			return errors.Join(errBodyMemory, e)
 		}
 		k.ReceiveBody(n)
+		v += n
 		return nil
 	})
 	if e != nil {
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -112,10 +112,15 @@
 	return d, e
 }
 
-// reserveRequest reserves the memory for the body of n bytes of a request. It returns a
-// refusal if there is too little.
-func reserveRequest(c context.Context, a *operator.BodyAccount, n int64) error {
-	e := a.ReserveRequest(c, lavenderridge.ByteCount(n))
+// reserveRequest reserves the memory for the body of n bytes of a request of the client k.
+// If there is too little, it closes clients whose bodies have stopped, and returns a
+// refusal if that doesn't suffice.
+func reserveRequest(c context.Context, a *operator.BodyAccount, n int64, k *operator.Client) error {
+	v := lavenderridge.ByteCount(n)
+	e := a.ReserveRequest(c, v)
+	if errors.Is(e, context.DeadlineExceeded) && k.Relieve(v, time.Now()) {
+		e = a.ReserveRequest(c, v)
+	}
 	if e == nil {
 		return nil
 	}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -54,6 +54,8 @@
 	}
 	s.http.ReadHeaderTimeout = dialTimeout
 	s.http.MaxHeaderBytes = maxCallHeader
+	s.http.Protocols = &http.Protocols{}
+	s.http.Protocols.SetHTTP2(true)
 	s.http.ConnContext = func(c context.Context, n net.Conn) context.Context {
 		c = context.WithValue(c, clientKey{}, clientOf(n))
 		return context.WithValue(c, verifiedPeerKey{}, &peertls.VerifiedPeer{})
@@ -175,7 +177,7 @@
 	if o {
 		a := s.transport.bodies.NewAccount()
 		defer a.Close()
-		if e := reserveRequest(c, a, b); e != nil {
+		if e := reserveRequest(c, a, b, k); e != nil {
 			writeReply(w, encodeRefusal(e))
 			return
 		}
@@ -183,6 +185,7 @@
 	}
 	var n lavenderridge.ByteCount
 	defer func() { k.Release(n) }()
+	k.ReceiveBody(lavenderridge.ByteCount(b))
 	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage, func(v lavenderridge.ByteCount) error {
 		if !k.Hold(v, time.Now()) {
 			return errCallMemory
@@ -190,6 +193,7 @@
 		n += v
 		return nil
 	})
+	k.EndBody(lavenderridge.ByteCount(b))
 	if errors.Is(e, errCallMemory) {
 		refuseCall(w, k)
 		return
--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -75,7 +75,6 @@
 // nextHead begins the next head after the end of a request.
 func (n *Conn) nextHead() {
 	n.client.Release(n.held)
-	n.client.ReceiveBody(0)
 	n.client.Served(time.Now())
 	n.held = 0
 	n.meter.Reset()
@@ -88,7 +87,14 @@
 		return 0, io.EOF
 	}
 	k, e := n.Conn.Read(b)
-	if k == 0 || n.listener.heads == nil {
+	if k == 0 {
+		return k, e
+	}
+	if n.listener.heads == nil {
+		// Here, taking answers counts, and what is sent only if it is a body.
+		if k >= minProgress && n.client.ReceivesBody() {
+			n.client.Progress(time.Now())
+		}
 		return k, e
 	}
 	t, h := time.Now(), n.inHead.Load()
