--- a/internal/transport/peerhttp/fuzz_test.go
+++ b/internal/transport/peerhttp/fuzz_test.go
@@ -65,3 +65,36 @@
 		}
 	})
 }
+
+// FuzzDecodedMemory guards against messages that take more memory than was counted.
+func FuzzDecodedMemory(f *testing.F) {
+	f.Add([]byte{0x83, 0x01, 0x61, 'a', 0xa0})
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x5a, 0, 0, 0, 1, 0, 0xf9, 1, 2, 0xc1, 0x20})
+	f.Add(append([]byte{0x98, 200}, bytes.Repeat([]byte{0xa0}, 200)...))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var v any
+		if cborDecoder.Unmarshal(b, &v) != nil {
+			return
+		}
+		if n, m := elements(v), decodedMemory(b)/elementMemory; n > int(m) {
+			t.Errorf("%d elements; counted %d", n, m)
+		}
+	})
+}
+
+// elements returns the number of elements of v.
+func elements(v any) int {
+	n := 1
+	switch x := v.(type) {
+	case []any:
+		for _, e := range x {
+			n += elements(e)
+		}
+	case map[any]any:
+		for k, e := range x {
+			n += elements(k) + elements(e)
+		}
+	}
+	return n
+}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -194,6 +194,14 @@
 		return nil
 	})
 	k.EndBody(lavenderridge.ByteCount(b))
+	if e == nil && lavenderridge.ByteCount(len(f.message)) > smallMessage {
+		v := decodedMemory(f.message[1:])
+		if k.Hold(v, time.Now()) {
+			n += v
+		} else {
+			e = errCallMemory
+		}
+	}
 	if errors.Is(e, errCallMemory) {
 		refuseCall(w, k)
 		return
