--- a/internal/cmd/lavenderridge/crowd_test.go
+++ b/internal/cmd/lavenderridge/crowd_test.go
@@ -1,6 +1,7 @@
 package lavenderridge_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -109,14 +110,11 @@
 	var b [1]byte
 	_ = n.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, e := n.Read(b[:])
-	var v net.Error
 	if e == nil {
 		return false
 	}
-	if x, o := e.(net.Error); o {
-		v = x
-	}
-	return v == nil || !v.Timeout()
+	var v net.Error
+	return !errors.As(e, &v) || !v.Timeout()
 }
 
 // settle waits until the crowd has sent all that it can send, and calls f all the while.
--- a/internal/cmd/lavenderridge/peercrowd_test.go
+++ b/internal/cmd/lavenderridge/peercrowd_test.go
@@ -23,7 +23,7 @@
 	"large-hello": func(n net.Conn, _ int) { endless(n, "\x16\x03\x01\x40\x00\x01\x00\xff\xfc\x03\x03", "aaaaaaaa") },
 	"plain":       func(n net.Conn, _ int) { endless(n, "GET / HTTP/1.1\r\n", "x: y\r\n") },
 	// Heads of HTTP/1 inside the encryption, with many short fields.
-	"older-protocol": func(n net.Conn, i int) {
+	"older-protocol": func(n net.Conn, _ int) {
 		if c := newTLS(n, "http/1.1"); c != nil {
 			stopShort(c, legalHead, func(j int) string { return strconv.Itoa(j) + ":\n" })
 		}
@@ -62,7 +62,7 @@
 			}
 		}
 	},
-	"many-fields": func(n net.Conn, i int) {
+	"many-fields": func(n net.Conn, _ int) {
 		f := newFrames(n)
 		for s := range 50 {
 			if !f.head(s, 1<<20, func(h *hpack.Encoder) {
@@ -74,7 +74,7 @@
 			}
 		}
 	},
-	"tables": func(n net.Conn, i int) {
+	"tables": func(n net.Conn, _ int) {
 		f := newFrames(n)
 		for s := range 50 {
 			if !f.head(s, 1<<20, func(h *hpack.Encoder) {
--- a/internal/policy/operator/clienttable_test.go
+++ b/internal/policy/operator/clienttable_test.go
@@ -125,13 +125,13 @@
 					}
 				}
 			},
-			"end": func(t *rapid.T) {
+			"end": func(*rapid.T) {
 				for c := range running {
 					delete(running, c)
 					c.End()
 				}
 			},
-			"leave": func(t *rapid.T) {
+			"leave": func(*rapid.T) {
 				if len(open) > 0 {
 					open[0].Leave()
 					delete(running, open[0])
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -161,6 +161,26 @@
 	return r
 }
 
+// receiveCall reads the call q of the client k, with a body of b bytes. It returns what
+// the call holds, also with an error.
+func (s *Server) receiveCall(q *http.Request, b int64, k *operator.Client) (*frame, lavenderridge.ByteCount, error) {
+	var n lavenderridge.ByteCount
+	h := func(v lavenderridge.ByteCount) error {
+		if !k.Hold(v, time.Now()) {
+			return errCallMemory
+		}
+		n += v
+		return nil
+	}
+	k.ReceiveBody(lavenderridge.ByteCount(b))
+	defer k.EndBody(lavenderridge.ByteCount(b))
+	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage, h)
+	if e == nil && lavenderridge.ByteCount(len(f.message)) > smallMessage {
+		e = h(decodedMemory(f.message[1:]))
+	}
+	return f, n, e
+}
+
 // serveCall handles one call of the client k. A call that did not arrive completely gets
 // no reply: its stream is reset.
 func (s *Server) serveCall(w http.ResponseWriter, q *http.Request, k *operator.Client) {
@@ -183,25 +203,8 @@
 		}
 		c = operator.WithBodyAccount(c, a)
 	}
-	var n lavenderridge.ByteCount
-	defer func() { k.Release(n) }()
-	k.ReceiveBody(lavenderridge.ByteCount(b))
-	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage, func(v lavenderridge.ByteCount) error {
-		if !k.Hold(v, time.Now()) {
-			return errCallMemory
-		}
-		n += v
-		return nil
-	})
-	k.EndBody(lavenderridge.ByteCount(b))
-	if e == nil && lavenderridge.ByteCount(len(f.message)) > smallMessage {
-		v := decodedMemory(f.message[1:])
-		if k.Hold(v, time.Now()) {
-			n += v
-		} else {
-			e = errCallMemory
-		}
-	}
+	f, n, e := s.receiveCall(q, b, k)
+	defer k.Release(n)
 	if errors.Is(e, errCallMemory) {
 		refuseCall(w, k)
 		return
