--- a/internal/cmd/lavenderridge/crowd_test.go
+++ b/internal/cmd/lavenderridge/crowd_test.go
@@ -136,52 +136,52 @@
 }
 
 // plainCrowds are the kinds of crowds at the doors that speak HTTP/1.
-var plainCrowds = map[string]func(n net.Conn, i int){
+var plainCrowds = map[string]func(n net.Conn, _ int){
 	// A head of legal size with a body that stops short.
-	"many-names": func(n net.Conn, i int) {
+	"many-names": func(n net.Conn, _ int) {
 		stopShort(n, legalHead, func(j int) string { return fmt.Sprintf("%x:\r\n", j) })
 	},
 	"new-names": func(n net.Conn, i int) {
 		stopShort(n, legalHead, func(j int) string { return fmt.Sprintf("x-%x-%x: y\r\n", i, j) })
 	},
-	"one-name":       func(n net.Conn, i int) { stopShort(n, legalHead, func(int) string { return "a:\r\n" }) },
-	"one-known-name": func(n net.Conn, i int) { stopShort(n, legalHead, func(int) string { return "Accept: b\r\n" }) },
-	"empty-values": func(n net.Conn, i int) {
+	"one-name":       func(n net.Conn, _ int) { stopShort(n, legalHead, func(int) string { return "a:\r\n" }) },
+	"one-known-name": func(n net.Conn, _ int) { stopShort(n, legalHead, func(int) string { return "Accept: b\r\n" }) },
+	"empty-values": func(n net.Conn, _ int) {
 		stopShort(n, legalHead, func(j int) string { return fmt.Sprintf("x%d:   \r\n", j%1000) })
 	},
-	"long-values": func(n net.Conn, i int) {
+	"long-values": func(n net.Conn, _ int) {
 		stopShort(n, legalHead, func(j int) string { return fmt.Sprintf("x%d: %s\r\n", j, strings.Repeat("v", 1000)) })
 	},
-	"operators-names": func(n net.Conn, i int) {
+	"operators-names": func(n net.Conn, _ int) {
 		stopShort(n, largeHead, func(j int) string { return fmt.Sprintf("%x:\r\n", j) })
 	},
-	"names-unfinished": func(n net.Conn, i int) {
+	"names-unfinished": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, "POST /roster/1 HTTP/1.1\r\nHost: a\r\n"+lines(legalHead, func(j int) string { return fmt.Sprintf("%x:\r\n", j) }))
 	},
-	"many-cookies": func(n net.Conn, i int) {
+	"many-cookies": func(n net.Conn, _ int) {
 		stopShort(n, legalHead, func(j int) string { return fmt.Sprintf("Cookie: %x\r\n", j) })
 	},
 	// Heads over the limit.
-	"large-head": func(n net.Conn, i int) {
+	"large-head": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n"+lines(1<<20, func(j int) string { return fmt.Sprintf("x-%x: y\r\n", j) })+"\r\n")
 	},
-	"head-without-end":       func(n net.Conn, i int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n", "x-y: z\r\n") },
-	"line-without-end":       func(n net.Conn, i int) { endless(n, "GET /roster/", "aaaaaaaaaaaaaaaa") },
-	"value-without-end":      func(n net.Conn, i int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\nX: ", "aaaaaaaaaaaaaaaa") },
-	"empty-lines":            func(n net.Conn, i int) { endless(n, "", "\r\n") },
-	"empty-lines-kept":       func(n net.Conn, i int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n\r\n", "\r\n") },
-	"trailers-without-end":   func(n net.Conn, i int) { endless(n, chunked+"1\r\nx\r\n0\r\n", "x-y: z\r\n") },
-	"extensions-without-end": func(n net.Conn, i int) { endless(n, chunked+"1", ";x=yyyyyyyyyyyyyyyy") },
-	"many-extensions":        func(n net.Conn, i int) { endless(n, chunked, "1;"+strings.Repeat("e", 1000)+"\r\nx\r\n") },
+	"head-without-end":       func(n net.Conn, _ int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n", "x-y: z\r\n") },
+	"line-without-end":       func(n net.Conn, _ int) { endless(n, "GET /roster/", "aaaaaaaaaaaaaaaa") },
+	"value-without-end":      func(n net.Conn, _ int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\nX: ", "aaaaaaaaaaaaaaaa") },
+	"empty-lines":            func(n net.Conn, _ int) { endless(n, "", "\r\n") },
+	"empty-lines-kept":       func(n net.Conn, _ int) { endless(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n\r\n", "\r\n") },
+	"trailers-without-end":   func(n net.Conn, _ int) { endless(n, chunked+"1\r\nx\r\n0\r\n", "x-y: z\r\n") },
+	"extensions-without-end": func(n net.Conn, _ int) { endless(n, chunked+"1", ";x=yyyyyyyyyyyyyyyy") },
+	"many-extensions":        func(n net.Conn, _ int) { endless(n, chunked, "1;"+strings.Repeat("e", 1000)+"\r\nx\r\n") },
 	// Bodies.
-	"short-of-length": func(n net.Conn, i int) {
+	"short-of-length": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, fmt.Sprintf("POST /roster/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", legalBody)+strings.Repeat("x", legalBody-10))
 	},
-	"short-of-chunks": func(n net.Conn, i int) {
+	"short-of-chunks": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, fmt.Sprintf("%s%x\r\n%s", chunked, legalBody, strings.Repeat("x", legalBody-10)))
 	},
-	"little-chunks": func(n net.Conn, i int) { _, _ = io.WriteString(n, chunked+strings.Repeat("1\r\nx\r\n", 40<<10)) },
-	"byte-by-byte": func(n net.Conn, i int) {
+	"little-chunks": func(n net.Conn, _ int) { _, _ = io.WriteString(n, chunked+strings.Repeat("1\r\nx\r\n", 40<<10)) },
+	"byte-by-byte": func(n net.Conn, _ int) {
 		if _, e := io.WriteString(n, fmt.Sprintf("POST /roster/1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", legalBody)); e != nil {
 			return
 		}
@@ -193,17 +193,17 @@
 		}
 	},
 	// Responses that nobody reads.
-	"unread": func(n net.Conn, i int) {
+	"unread": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, "GET "+largeResponsePath+" HTTP/1.1\r\nHost: a\r\n\r\n")
 	},
-	"unread-behind": func(n net.Conn, i int) {
+	"unread-behind": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, strings.Repeat("GET "+largeResponsePath+" HTTP/1.1\r\nHost: a\r\n\r\n", 50))
 	},
-	"unread-operators": func(n net.Conn, i int) {
+	"unread-operators": func(n net.Conn, _ int) {
 		_, _ = io.WriteString(n, strings.Repeat("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 2000))
 	},
 	"silent": func(net.Conn, int) {},
-	"kept":   func(n net.Conn, i int) { _, _ = io.WriteString(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n\r\n") },
+	"kept":   func(n net.Conn, _ int) { _, _ = io.WriteString(n, "GET /roster/1 HTTP/1.1\r\nHost: a\r\n\r\n") },
 }
 
 const chunked = "POST /roster/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
