--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -77,8 +77,10 @@
 	for _, f := range o {
 		f(s)
 	}
+	n := plainhttp.NewListener(l, s.clients, s.headLimits, s.sendPause)
+	n.SetRefusals(s.headRefusal(lavenderridge.ReasonTooLarge, 0), s.headRefusal(lavenderridge.ReasonOverloaded, bodyMemoryRetryAfter))
 	s.Server = kratoshttp.NewServer(
-		kratoshttp.Listener(plainhttp.NewListener(l, s.clients, s.headLimits, s.sendPause)),
+		kratoshttp.Listener(n),
 		kratoshttp.Address(l.Addr().String()),
 		kratoshttp.Timeout(0),
 		// The filter handles requests before they reach the router, which would
@@ -88,7 +90,8 @@
 	s.stopper = plainhttp.NewStopper(s.Server)
 	s.ReadHeaderTimeout = readHeaderTimeout
 	s.IdleTimeout = idleTimeout
-	s.MaxHeaderBytes = maxHeader
+	// The listener refuses heads first, with the fields of the protocol.
+	s.MaxHeaderBytes = 2 * maxHeader
 	s.ConnContext = plainhttp.WithConn
 	return s
 }
@@ -102,6 +105,17 @@
 	return l
 }
 
+// headRefusal returns the header of the refusal of a head for the reason r. The request
+// has no ID, since its head has not been read whole.
+func (s *Server) headRefusal(r lavenderridge.Reason, d time.Duration) http.Header {
+	f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, r, "")
+	f.RetryAfter = d
+	h := lavenderridge.Header{}
+	s.protocol.WriteRefusal(h, "", f)
+	maps.DeleteFunc(h, func(_ string, v []string) bool { return len(v) == 1 && v[0] == "" })
+	return http.Header(h)
+}
+
 func (s *Server) serve(w http.ResponseWriter, q *http.Request) {
 	n := plainhttp.ConnOf(q.Context())
 	n.HeadRead()
--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -27,12 +27,6 @@
 	refusalTimeout = 500 * time.Millisecond
 )
 
-// Refusals of heads, which have not been read whole.
-const (
-	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headMemory   = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
 // A Conn is a connection that counts what its client makes the daemon hold. It weighs the
 // head of a request before the HTTP library sees it, since that keeps an entry for each
 // line.
@@ -113,12 +107,12 @@
 	o := n.meter.Add(b)
 	if n.meter.Exceeds(n.listener.heads()) {
 		n.listener.clients.CountRefusal()
-		n.refuse(headTooLarge)
+		n.refuse(n.listener.tooLarge)
 		return false
 	}
 	if v := n.meter.Memory() - n.held; v > 0 {
 		if !n.client.Hold(v, t) {
-			n.refuse(headMemory)
+			n.refuse(n.listener.noMemory)
 			return false
 		}
 		n.held += v
