--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -201,6 +201,9 @@
 	for i := range callerCount {
 		w.Go(func() error { return f.call(x, i) })
 	}
+	for i := range strangerCount {
+		w.Go(func() error { return f.intrude(x, i) })
+	}
 	w.Go(func() error { return f.sampleVersions(x) })
 	e := f.injectFaults(c)
 	if e == nil {
--- a/internal/transport/callerhttp/bench_test.go
+++ b/internal/transport/callerhttp/bench_test.go
@@ -29,7 +29,9 @@
 	go func() { d <- s.Run(c, time.Second) }()
 	b.Cleanup(func() {
 		f()
-		<-d
+		if e := <-d; e != nil {
+			b.Error(e)
+		}
 	})
 	return l.Addr().String()
 }
--- a/internal/transport/callerhttp/head_test.go
+++ b/internal/transport/callerhttp/head_test.go
@@ -48,7 +48,9 @@
 		go func() { g <- s.Run(c, time.Second) }()
 		defer func() {
 			f()
-			<-g
+			if e := <-g; e != nil {
+				t.Error(e)
+			}
 		}()
 		x, e := net.Dial("tcp", l.Addr().String())
 		if e != nil {
