--- a/internal/soak/fleet/strangers.go
+++ b/internal/soak/fleet/strangers.go
@@ -51,9 +51,11 @@
 	return nil
 }
 
+// strangerHead begins most of what strangers send.
+const strangerHead = "POST /" + writePath + " HTTP/1.1\r\nHost: a\r\n"
+
 // strangerText returns the text of the kind k, which is drawn with r.
 func strangerText(k int, r *rand.Rand) string {
-	const head = "POST /" + writePath + " HTTP/1.1\r\nHost: a\r\n"
 	var b strings.Builder
 	switch k {
 	case 0:
@@ -61,17 +63,17 @@
 	case 1:
 		return strings.Repeat("\r\n", strangerLines)
 	case 2:
-		b.WriteString(head + "Content-Length: 10\r\n")
+		b.WriteString(strangerHead + "Content-Length: 10\r\n")
 		for j := range strangerLines {
 			_, _ = fmt.Fprintf(&b, "%x:\r\n", j)
 		}
 		b.WriteString("\r\nx")
 	case 3:
-		b.WriteString(head + strings.Repeat("a:\r\n", r.IntN(4*strangerLines)))
+		b.WriteString(strangerHead + strings.Repeat("a:\r\n", r.IntN(4*strangerLines)))
 	case 4:
-		_, _ = fmt.Fprintf(&b, "%sContent-Length: %d\r\n\r\n%s", head, strangerBody, strings.Repeat("x", strangerBody-10))
+		_, _ = fmt.Fprintf(&b, "%sContent-Length: %d\r\n\r\n%s", strangerHead, strangerBody, strings.Repeat("x", strangerBody-10))
 	default:
-		_, _ = fmt.Fprintf(&b, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", head, strangerBody, strings.Repeat("x", r.IntN(strangerBody)))
+		_, _ = fmt.Fprintf(&b, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", strangerHead, strangerBody, strings.Repeat("x", r.IntN(strangerBody)))
 	}
 	return b.String()
 }
