--- a/internal/transport/peerhttp/transport.go
+++ b/internal/transport/peerhttp/transport.go
@@ -51,7 +51,7 @@
 	maxDials = 64
 	// maxStreams bounds the concurrent calls of one daemon to another. It is far
 	// above the slots of a backend server plus the requests queued for them.
-	maxStreams = 1024
+	maxStreams = 256
 	// remoteAlertOperation is the Op of the net.OpError with which crypto/tls
 	// reports an alert that the peer sent.
 	remoteAlertOperation = "remote error"
@@ -65,6 +65,7 @@
 	keys       *peertls.Keys
 	maxMessage lavenderridge.ByteCount
 	bodies     *operator.BodyBudget
+	clients    *operator.ClientTable
 	probeDelay time.Duration
 	registry   metrics.Registry
 	counters   counters
@@ -92,7 +93,7 @@
 		return nil, errors.Join(e, l.Close())
 	}
 	t := &Transport{
-		http: h, keys: k, bodies: operator.NewBodyBudget(0),
+		http: h, keys: k, bodies: operator.NewBodyBudget(0), clients: operator.NewClientTable(operator.ClientLimits{}, nil),
 		maxMessage: defaultMaxMessage, probeDelay: defaultProbeDelay, registry: metrics.NewRegistry(),
 		start: time.Now(), dials: semaphore.NewWeighted(maxDials),
 	}
