Keep the deadline of writes when the HTTP library clears it

Cause: plainhttp.Conn renews the deadline of writes only in the second half of SendPause, and remembers it. The HTTP library clears the deadline of the connection after each answer, so that an answer within half of SendPause after another one was written without a deadline: a caller who took one small answer and left the next large one kept its connection, goroutine and body for good, contrary to Limits.SendPause.

Change: Conn.SetWriteDeadline does nothing while Conn sets the deadline itself. Nothing is added on the path of a request.

TestWritesEndAfterAnAnswer, SendPause 1 s: the second write hadn't ended after 20 s before; it ends with a timeout now, 1.3 s for the package.

--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -146,7 +146,7 @@
 		t := time.Now()
 		if n.writeUntil.Sub(t) < n.listener.pause/2 {
 			n.writeUntil = t.Add(n.listener.pause)
-			if e := n.SetWriteDeadline(n.writeUntil); e != nil {
+			if e := n.Conn.SetWriteDeadline(n.writeUntil); e != nil {
 				return s, e
 			}
 		}
@@ -158,6 +158,15 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. The HTTP library clears the deadline after each
+// answer; while clients must take theirs in time, Write sets it instead.
+func (n *Conn) SetWriteDeadline(t time.Time) error {
+	if n.listener.pause > 0 {
+		return nil
+	}
+	return n.Conn.SetWriteDeadline(t)
+}
+
 // Close implements net.Conn.
 func (n *Conn) Close() error {
 	n.client.Leave()
