Keep connections of daemons whose reply is on its way

Cause: a call of a daemon counted as running only until its handler had ended. While the reply was written, which lasts until the calling daemon has memory for it, the connection might be closed to make room for another one, also at once after a longer silence: the response of a request that had run was lost (ConnectionLost, Unknown), and all other calls on that connection with it. Besides, a flag for one response made a connection closable on which another request ran.

Change: Client counts the responses that are being written, and Delivered ends what Deliver begins.

--- a/internal/policy/operator/client.go
+++ b/internal/policy/operator/client.go
@@ -37,14 +37,13 @@
 	progressed atomic.Int64
 	// held and body are the bytes of heads and messages, and of a body that arrives.
 	held, body atomic.Int64
-	// running is the number of requests that have arrived whole and aren't answered.
-	running atomic.Int32
+	// running is the number of requests that have arrived whole and aren't answered, and
+	// delivering that of those whose response is being written.
+	running, delivering atomic.Int32
 	// untaken is the number of answers since the client was last seen to take one.
 	untaken atomic.Int32
-	// delivering is set while a response is being written.
-	delivering atomic.Bool
-	served     atomic.Bool
-	gone       atomic.Bool
+	served  atomic.Bool
+	gone    atomic.Bool
 }
 
 // Progress notes that the client has sent or taken something at the time t.
@@ -101,17 +100,23 @@
 // End is the counterpart of Begin.
 func (c *Client) End() {
 	if c != nil {
-		c.delivering.Store(false)
 		c.running.Add(-1)
 	}
 }
 
-// Deliver notes that the only request has run and its response is being written, from the
-// time t.
+// Deliver notes that a request has run and its response is being written, from the time
+// t. Delivered must be called before End.
 func (c *Client) Deliver(t time.Time) {
 	if c != nil {
 		c.Progress(t)
-		c.delivering.Store(true)
+		c.delivering.Add(1)
+	}
+}
+
+// Delivered is the counterpart of Deliver.
+func (c *Client) Delivered() {
+	if c != nil {
+		c.delivering.Add(-1)
 	}
 }
 
@@ -175,11 +180,12 @@
 // it must not be closed.
 func (c *Client) cost(t time.Time) float64 {
 	s, m := time.Duration(t.UnixNano()-c.progressed.Load()), minStall
+	d := c.delivering.Load()
 	switch {
-	case c.delivering.Load():
-		m = deliveryStall
-	case c.running.Load() > 0:
+	case c.running.Load() > d:
 		return 0
+	case d > 0:
+		m = deliveryStall
 	case c.body.Load() > 0:
 		m = bodyStall
 	case c.served.Load():
--- a/internal/policy/operator/clienttable_test.go
+++ b/internal/policy/operator/clienttable_test.go
@@ -58,6 +58,8 @@
 		c.Begin()
 	case "deliver":
 		c.Deliver(s.time)
+	case "delivered":
+		c.Delivered()
 	case "end":
 		c.End()
 		c.Served(s.time)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -154,6 +154,7 @@
 		return
 	}
 	n.Client().Deliver(time.Now())
+	defer n.Client().Delivered()
 	s.writeResponse(w, p)
 }
 
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -124,6 +124,7 @@
 			k.Client().Begin()
 			defer k.Client().End()
 			k.Client().Deliver(time.Now())
+			defer k.Client().Delivered()
 			n.ServeHTTP(w, q)
 		default:
 			http.Error(w, "too many concurrent requests", http.StatusServiceUnavailable)
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -213,6 +213,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	k.Begin()
+	defer k.End()
 	// A call counts as activity only when its body is complete. On a half-open
 	// connection that never happens, and the call must not delay the shutdown.
 	s.activity.begin()
@@ -227,11 +228,12 @@
 		c = context.WithValue(c, readForKey{}, h)
 	}
 	p, v, e := s.handleMessage(c, f, o, i)
-	k.End()
 	defer func() { s.onSent(v) }()
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
+	k.Deliver(time.Now())
+	defer k.Delivered()
 	writeReply(w, p)
 }
 
--- a/internal/transport/plainhttp/conn_test.go
+++ b/internal/transport/plainhttp/conn_test.go
@@ -46,7 +46,7 @@
 	case <-time.After(20 * time.Second):
 		t.Error("the write doesn't end")
 		_ = n.Close()
-		<-g
+		_ = <-g
 	}
 	_ = n.Close()
 }
