--- a/peer.go
+++ b/peer.go
@@ -15,4 +15,6 @@
 	Activate(c context.Context, q *ActivationRequest) (*ActivationReply, error)
 	// HandOver transfers ledger records to their next home.
 	HandOver(c context.Context, q *HandOver) (*HandOverReply, error)
+	// Borrow asks a home of customers' quotas for a loan.
+	Borrow(c context.Context, q *LoanRequest) (*Loan, error)
 }
