--- a/internal/policy/caller/quotaaccount.go
+++ b/internal/policy/caller/quotaaccount.go
@@ -94,14 +94,18 @@
 		return
 	}
 	n := &quotaTerms{list: l, quota: q}
-	i := indexOf(l, a.self)
-	n.places = min(a.bounds.Share(a.customer, q, i, len(l.Instances)), maxShare)
+	i := peer.LoanRank(l, a.customer, a.self)
+	n.places = min(a.bounds.Share(q, i, len(l.Instances)), maxShare)
 	n.homes = peer.NewLoanHomes(l, a.customer)
 	if len(n.homes) > 0 {
 		n.first = max(i, 0) % len(n.homes)
 	}
 	if o != nil {
 		n.inherit(o, t)
+		// Another daemon may have used a place that is new here.
+		for j := o.places; j < n.places; j++ {
+			a.share[j].Store(int64(t.Sub(a.start) + a.bounds.Window))
+		}
 	}
 	if a.terms.CompareAndSwap(o, n) && o != nil && !sameHomes(o.homes, n.homes) {
 		for j := range a.homes {
@@ -133,22 +137,6 @@
 	return true
 }
 
-// indexOf returns the place of the instance n in the list l, or -1.
-func indexOf(l *lavenderridge.InstanceList, n lavenderridge.InstanceID) int {
-	i, j := 0, len(l.Instances)
-	for i < j {
-		if m := (i + j) / 2; l.Instances[m].ID < n {
-			i = m + 1
-		} else {
-			j = m
-		}
-	}
-	if i < len(l.Instances) && l.Instances[i].ID == n {
-		return i
-	}
-	return -1
-}
-
 // Arrive counts a request of the customer. Take is called for it once or more.
 func (a *QuotaAccount) Arrive() {
 	a.demand.Add(1)
--- a/internal/policy/peer/loanhomes.go
+++ b/internal/policy/peer/loanhomes.go
@@ -45,3 +45,23 @@
 	}
 	return -1
 }
+
+// LoanRank returns the rank of the instance n for the customer d among the instances of
+// the list l, by rendezvous hash, or -1 if it is not listed. A change of the list changes
+// few ranks much.
+func LoanRank(l *lavenderridge.InstanceList, d lavenderridge.CustomerID, n lavenderridge.InstanceID) int {
+	r, o := 0, false
+	v := score(lavenderridge.IdempotencyKey(d), n)
+	for i := range l.Instances {
+		m := l.Instances[i].ID
+		if m == n {
+			o = true
+		} else if score(lavenderridge.IdempotencyKey(d), m) > v {
+			r++
+		}
+	}
+	if !o {
+		return -1
+	}
+	return r
+}
--- a/internal/policy/peer/loanledger.go
+++ b/internal/policy/peer/loanledger.go
@@ -18,7 +18,7 @@
 	maxLoanWait = 5 * time.Second
 	// askRate is the number of requests for loans in a second, for one customer, above
 	// which a home makes the daemons ask less often.
-	askRate = 100
+	askRate = 50
 	// askMemory is the time over which these are counted.
 	askMemory = time.Second
 	// maxLoanWants bounds the customers in one request.
--- a/internal/policy/peer/quotabounds.go
+++ b/internal/policy/peer/quotabounds.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lavenderridge/lavenderridge"
 )
 
@@ -22,7 +20,7 @@
 	// LoanAskDelay is how long a daemon collects what it owes before it asks for it.
 	LoanAskDelay = 100 * time.Millisecond
 	// loansPerWindow divides the window into the times for which a loan lasts.
-	loansPerWindow = 20
+	loansPerWindow = 25
 	// loansOutstanding is the number of these times during which a request that was
 	// lent is used or returned.
 	loansOutstanding = 2
@@ -73,23 +71,20 @@
 	return max(float64(q.Burst)/float64(n), float64(q.Rate)/float64(n)*LoanAskDelay.Seconds(), 1)
 }
 
-// Share returns how many requests of the customer d a daemon may admit in a window
-// beyond what was lent. The daemon is number i of n in the instance list. The sum over
-// all daemons fits into the bounds beside the loans.
-func (b QuotaBounds) Share(d lavenderridge.CustomerID, q lavenderridge.Quota, i, n int) int {
-	if n <= 0 {
+// Share returns how many requests under the quota q a daemon may admit in a window beyond
+// what was lent. The daemon has the rank i among n, as by LoanRank. The sum over all
+// daemons fits into the bounds beside the loans.
+func (b QuotaBounds) Share(q lavenderridge.Quota, i, n int) int {
+	if n <= 0 || i < 0 {
 		return 0
 	}
 	h := min(n, maxHomes)
 	s := int(math.Floor(b.Most(q) - float64(q.Rate)*(b.Window+b.ReturnTime()).Seconds() - b.Capacity(q, h)*float64(h)))
-	if s <= 0 || i < 0 {
+	if s <= 0 {
 		return 0
 	}
-	// The first of those that get one more is chosen by the customer.
-	o := (i + int(xxhash.Sum64String(string(d))%uint64(n))) % n
-	m := s / n
-	if o < s%n {
-		m++
+	if i < s%n {
+		return s/n + 1
 	}
-	return m
+	return s / n
 }
