--- a/internal/policy/caller/quota_test.go
+++ b/internal/policy/caller/quota_test.go
@@ -28,7 +28,7 @@
 		datadriven.RunTest(t, p, func(t *testing.T, d *datadriven.TestData) string {
 			n, m, x, uneven, y, seeds, hot := 65, 74, 27, 0, 160, 3, 0
 			goal := 5
-			failure := "none"
+			failure, design := "none", ""
 			d.MaybeScanArgs(t, "daemons", &n)
 			d.MaybeScanArgs(t, "customers", &m)
 			d.MaybeScanArgs(t, "rate", &x)
@@ -38,9 +38,11 @@
 			d.MaybeScanArgs(t, "hot", &hot)
 			d.MaybeScanArgs(t, "failure", &failure)
 			d.MaybeScanArgs(t, "goal", &goal)
+			d.MaybeScanArgs(t, "design", &design)
 			var b strings.Builder
 			for s := range seeds {
 				w := newQuotaWorld(uint64(s+1), n, m, float64(x), float64(y)/100)
+				w.design = design
 				from := w.start.Add(quotaWarmUp)
 				for i, c := range w.customers {
 					f := 1.0
@@ -48,6 +50,7 @@
 						f = 10
 					}
 					v := w.weights(float64(uneven) / 100)
+					c.weights = v
 					w.at(from, func() {
 						c.at, c.ideal = w.now, float64(c.quota.Burst)
 						w.send(c, v, f, w.start.Add(quotaRun))
--- a/internal/policy/caller/quotaworld_test.go
+++ b/internal/policy/caller/quotaworld_test.go
@@ -43,6 +43,7 @@
 	catalogue *lavenderridge.Catalogue
 	list      *lavenderridge.InstanceList
 	cut       func(a, b *quotaDaemon) bool // whether messages from a to b are lost
+	design    string                       // "" for homes; the others were weighed against them
 	failing   float64                      // share of the admitted requests that are refused later
 	calls     int
 	wants     int
@@ -52,6 +53,7 @@
 	id      lavenderridge.CustomerID
 	quota   lavenderridge.Quota
 	demand  float64
+	weights []float64
 	ran     []time.Time
 	ideal   float64 // level of an ideal bucket
 	at      time.Time
@@ -81,6 +83,9 @@
 	asking  bool
 	queued  bool
 	waiting []*simRequest
+	// level and at are the bucket of a design without homes.
+	level float64
+	at    time.Time
 }
 
 type simRequest struct {
@@ -265,6 +270,10 @@
 		a = &simAccount{daemon: d, account: caller.NewQuotaAccount(c.id, d.id, d.world.bounds, d.born)}
 		d.accounts[c] = a
 	}
+	if d.world.design != "" {
+		a.admitAlone(c)
+		return
+	}
 	a.account.Update(d.snapshot.Customer(c.id).Quota, d.snapshot.List, d.world.now)
 	a.account.Arrive()
 	r := &simRequest{customer: c, until: d.world.now.Add(maxQuotaWait)}
@@ -294,6 +303,26 @@
 	}
 }
 
+// admitAlone admits a request out of a fixed part of the quota: an equal one, or the part
+// that the daemon has in the customer's demand, as if it were known exactly.
+func (a *simAccount) admitAlone(c *quotaCustomer) {
+	w := a.daemon.world
+	x := 1 / float64(len(w.daemons))
+	if w.design == "demand" {
+		x = c.weights[a.daemon.index]
+	}
+	m := x * (w.bounds.Most(c.quota) - float64(c.quota.Rate)*w.bounds.Window.Seconds())
+	if a.at.IsZero() {
+		a.level, a.at = m, w.now
+	}
+	a.level = min(a.level+w.now.Sub(a.at).Seconds()*x*float64(c.quota.Rate), m)
+	a.at = w.now
+	if a.level >= 1 {
+		a.level--
+		c.ran = append(c.ran, w.now)
+	}
+}
+
 // wake lets the waiting requests try again.
 func (a *simAccount) wake() {
 	p := a.waiting
