--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -47,6 +48,9 @@
 	maxColdSlack          = 1000.0
 	maxRatio              = 1.0 // retries per request
 	maxExtraRetries       = 100_000
+	minQuotaWindow        = time.Second
+	maxQuotaWindow        = time.Minute
+	maxQuotaSlack         = 100_000 // requests
 )
 
 // Values of the setting Adapter.
@@ -179,6 +183,16 @@
 	d.ColdSlack = r.number("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
 	d.RetryRatio = lavenderridge.Ratio(r.number("Retries.Ratio", 0, maxRatio))
 	d.RetryExtra = r.integer("Retries.Extra", 0, 0, maxExtraRetries)
+	s.readQuota(r)
+}
+
+// readQuota reads by how much the customers may exceed their quotas.
+func (s *Settings) readQuota(r *reader) {
+	s.Daemon.Quota = peer.QuotaBounds{
+		Window:  r.duration("Customers.QuotaWindow", peer.DefaultQuotaWindow, minQuotaWindow, maxQuotaWindow),
+		Overage: lavenderridge.Ratio(r.number("Customers.QuotaOverage", peer.DefaultQuotaOverage, maxRatio)),
+		Slack:   lavenderridge.Requests(r.integer("Customers.QuotaSlack", int(peer.DefaultQuotaSlack), 0, maxQuotaSlack)),
+	}
 }
 
 // readBodyMemory reads the memory for bodies. Its default is a share of the daemon's; a
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -57,7 +57,8 @@
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler, caller.WithNotices(backendProtocol(d).Notice))
 	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f, d.recorder)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
-	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
+	q := caller.NewQuotaHandler(d.quota.borrower, d.clock, l)
+	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, q)
 	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
 }
 
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -60,6 +61,8 @@
 	// are zero, each daemon has a retry budget of its own.
 	RetryRatio lavenderridge.Ratio
 	RetryExtra int
+	// Quota bounds by how much customers may exceed their quotas; zero means the default.
+	Quota peer.QuotaBounds
 	// FleetSize is the number of daemons that are assumed to start concurrently
 	// while there is no instance list; zero means 500.
 	FleetSize int
--- a/internal/daemon/assembly/daemon.go
+++ b/internal/daemon/assembly/daemon.go
@@ -41,6 +41,7 @@
 	configuration *configPart
 	owner         *ownerPart
 	home          *homePart
+	quota         *quotaPart
 	caller        *callerPart
 	records       *operatorRecords
 	operator      *operatorPart
@@ -80,7 +81,8 @@
 		return e
 	}
 	d.home = newHomePart(d)
-	d.server = peerhttp.NewServer(d.transport, peer.NewNotifyingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.homeServer), d.sender, d.configuration.gossiper.MessageReceived), d.owner.owner.ResponseSent)
+	d.quota = newQuotaPart(d)
+	d.server = peerhttp.NewServer(d.transport, peer.NewNotifyingPeer(peer.NewLocalPeer(d.home.handler, d.configuration.exchanger, d.home.homeServer, d.quota.lender), d.sender, d.configuration.gossiper.MessageReceived), d.owner.owner.ResponseSent)
 	if d.caller, e = newCallerPart(d); e != nil {
 		return e
 	}
@@ -101,6 +103,7 @@
 	g.Go(func() error { return d.operator.run(p) })
 	g.Go(func() error { return d.owner.owner.Run(p) })
 	g.Go(func() error { return d.home.run(p) })
+	g.Go(func() error { return d.quota.run(p) })
 	g.Go(func() error { return d.server.Serve(p) })
 	g.Go(func() error {
 		defer f()
--- a/internal/daemon/peer/notifyingclient.go
+++ b/internal/daemon/peer/notifyingclient.go
@@ -48,6 +48,11 @@
 	return callAndNotify(c, p, q, p.next.HandOver, func(v *lavenderridge.HandOverReply) lavenderridge.Sender { return v.Sender })
 }
 
+// Borrow implements lavenderridge.Peer. Its reply carries no versions.
+func (p *notifyingClient) Borrow(c context.Context, q *lavenderridge.LoanRequest) (*lavenderridge.Loan, error) {
+	return p.next.Borrow(c, q)
+}
+
 // callAndNotify calls f with q and, if it succeeds, calls p.notify with the sender of
 // the reply. The function s returns the sender of a reply.
 func callAndNotify[Q, V any](c context.Context, p *notifyingClient, q *Q, f func(context.Context, *Q) (*V, error), s func(*V) lavenderridge.Sender) (*V, error) {
--- a/internal/daemon/peer/notifyingpeer.go
+++ b/internal/daemon/peer/notifyingpeer.go
@@ -54,6 +54,11 @@
 	return p.next.Activate(c, q)
 }
 
+// Borrow implements lavenderridge.Peer. Its sender carries no versions.
+func (p *NotifyingPeer) Borrow(c context.Context, q *lavenderridge.LoanRequest) (*lavenderridge.Loan, error) {
+	return p.next.Borrow(c, q)
+}
+
 // HandOver implements lavenderridge.Peer.
 func (p *NotifyingPeer) HandOver(c context.Context, q *lavenderridge.HandOver) (*lavenderridge.HandOverReply, error) {
 	p.notify(q.Sender)
--- a/internal/policy/caller/quota_test.go
+++ b/internal/policy/caller/quota_test.go
@@ -138,15 +138,9 @@
 		})
 	},
 	// island: a third is cut off from the rest, which the list then leaves out.
-	"island": func(w *quotaWorld) {
-		m := map[*quotaDaemon]bool{}
-		for _, d := range w.every(3) {
-			m[d] = true
-			d.cutSince = w.now
-		}
-		w.cut = func(a, b *quotaDaemon) bool { return m[a] != m[b] }
-		w.after(goneAfter, func() { w.relist(func(d *quotaDaemon) bool { return !m[d] }) })
-	},
+	"island": func(w *quotaWorld) { w.island(goneAfter) },
+	// islandsoon: the list leaves them out at once.
+	"islandsoon": func(w *quotaWorld) { w.island(0) },
 	// join: a sixth is not listed at first and joins.
 	"join": func(w *quotaWorld) {
 		a := w.every(6)
@@ -186,6 +180,18 @@
 	return a
 }
 
+// island cuts a third of the daemons off from the rest, which the list leaves out after
+// the time t.
+func (w *quotaWorld) island(t time.Duration) {
+	m := map[*quotaDaemon]bool{}
+	for _, d := range w.every(3) {
+		m[d] = true
+		d.cutSince = w.now
+	}
+	w.cut = func(a, b *quotaDaemon) bool { return m[a] != m[b] }
+	w.after(t, func() { w.relist(func(d *quotaDaemon) bool { return !m[d] }) })
+}
+
 // restart ends the daemons a, which start again after the time t.
 func (w *quotaWorld) restart(a []*quotaDaemon, t time.Duration) {
 	for _, d := range a {
--- a/internal/policy/caller/quotaaccount.go
+++ b/internal/policy/caller/quotaaccount.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"fmt"
 	"math"
 	"sync/atomic"
 	"time"
@@ -137,6 +138,20 @@
 	return true
 }
 
+// Terms describes the account for operators: the homes of the quota and the daemon's own
+// share of a window.
+func (a *QuotaAccount) Terms() string {
+	v := a.terms.Load()
+	if v == nil {
+		return "no terms"
+	}
+	s := "homes"
+	for _, h := range v.homes {
+		s += " " + string(h.ID)
+	}
+	return fmt.Sprintf("%s; own share %d", s, v.places)
+}
+
 // Arrive counts a request of the customer. Take is called for it once or more.
 func (a *QuotaAccount) Arrive() {
 	a.demand.Add(1)
--- a/internal/transport/callerhttp/protocol.go
+++ b/internal/transport/callerhttp/protocol.go
@@ -101,7 +101,7 @@
 		return http.StatusBadRequest
 	case lavenderridge.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case lavenderridge.ReasonLimit:
+	case lavenderridge.ReasonLimit, lavenderridge.ReasonQuota:
 		return http.StatusTooManyRequests
 	case lavenderridge.ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/internal/transport/peerhttp/kind.go
+++ b/internal/transport/peerhttp/kind.go
@@ -9,6 +9,7 @@
 	kindPull
 	kindActivate
 	kindHandOver
+	kindBorrow
 )
 
 // status is the first byte of a response body. It distinguishes a reply from a refusal.
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -212,6 +212,8 @@
 		return callPeer(c, b, i, s.activate, func(q *lavenderridge.ActivationRequest) *lavenderridge.Sender { return &q.Sender })
 	case kindHandOver:
 		return callPeer(c, b, i, s.handOver, func(q *wireHandOver) *lavenderridge.Sender { return &q.HandOver.Sender })
+	case kindBorrow:
+		return s.borrow(c, b, lavenderridge.Sender{Instance: i.Instance, DataCentre: i.DataCentre})
 	default:
 		return nil, newNotRun(fmt.Sprintf("unknown kind of call %d", k))
 	}
--- a/internal/transport/peerhttp/traffic.go
+++ b/internal/transport/peerhttp/traffic.go
@@ -9,8 +9,8 @@
 // Traffic counts the calls that a transport made and the bytes that it sent.
 type Traffic struct {
 	// calls and payload, in bytes, are indexed by the kind of the call.
-	calls     [kindHandOver + 1]atomic.Int64
-	payload   [kindHandOver + 1]atomic.Int64
+	calls     [kindBorrow + 1]atomic.Int64
+	payload   [kindBorrow + 1]atomic.Int64
 	bytesSent atomic.Int64
 	writes    atomic.Int64
 }
@@ -47,6 +47,12 @@
 	return c.calls[kindActivate].Load(), lavenderridge.ByteCount(c.payload[kindActivate].Load())
 }
 
+// Loans returns the number of requests for loans that this daemon sent and the bytes of
+// the requests and their replies.
+func (c *Traffic) Loans() (int64, lavenderridge.ByteCount) {
+	return c.calls[kindBorrow].Load(), lavenderridge.ByteCount(c.payload[kindBorrow].Load())
+}
+
 // Sent returns the bytes written to all connections, without TCP and IP headers,
 // and the number of write calls.
 func (c *Traffic) Sent() (lavenderridge.ByteCount, int64) {
