--- a/internal/daemon/caller/borrower.go
+++ b/internal/daemon/caller/borrower.go
@@ -141,9 +141,12 @@
 		b.record("QuotaReached", s, w, v)
 		return u, b.refusal(v, m, "the customer has reached its quota")
 	default:
+		if m <= 0 {
+			m = maxLoanWait
+		}
 		b.counters.unanswered.Inc(1)
 		b.record("QuotaUnanswered", s, w, v)
-		return u, b.refusal(v, maxLoanWait, "no home of the customer's quota has answered in time")
+		return u, b.refusal(v, m, "no home of the customer's quota lends")
 	}
 }
 
--- a/internal/policy/caller/quotaaccount.go
+++ b/internal/policy/caller/quotaaccount.go
@@ -72,7 +72,8 @@
 	asked, end int64
 }
 
-// homeState is when one home may be asked, and the failures in a row.
+// homeState is when one home may be asked, and the failures in a row, where a home that may
+// not lend counts as one.
 type homeState struct {
 	opens    atomic.Int64
 	failures atomic.Int64
@@ -177,11 +178,23 @@
 	}
 	switch {
 	case len(v.homes) == 0:
-		return QuotaUse{}, minHomeBackoff, QuotaExceeded
-	case w > 0:
-		return QuotaUse{}, time.Duration(w), QuotaExceeded
+		return QuotaUse{}, minHomeBackoff, QuotaUnreachable
+	case w <= 0:
+		return QuotaUse{}, 0, QuotaPending
+	case a.unreachable(v):
+		return QuotaUse{}, time.Duration(w), QuotaUnreachable
 	}
-	return QuotaUse{}, 0, QuotaPending
+	return QuotaUse{}, time.Duration(w), QuotaExceeded
+}
+
+// unreachable reports whether no home lent at the last question.
+func (a *QuotaAccount) unreachable(v *quotaTerms) bool {
+	for i := range v.homes {
+		if a.homes[i].failures.Load() == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // take takes one request out of l, if there is one.
@@ -230,10 +243,11 @@
 	if v == nil || a.homeToAsk(v, n) < 0 {
 		return QuotaNeedNone
 	}
-	if a.waiting.Load() > 0 {
+	l := a.loan.Load()
+	if a.waiting.Load() > l.usable(n) {
 		return QuotaNeedNow
 	}
-	if l := a.loan.Load(); l != nil && l.size >= lowLoan && n < l.end && l.left.Load() <= l.size/lowLoan {
+	if l != nil && l.size >= lowLoan && n < l.end && l.left.Load() <= l.size/lowLoan {
 		return QuotaNeedNow
 	}
 	if a.owed(v, n) > 0 {
@@ -242,6 +256,14 @@
 	return QuotaNeedNone
 }
 
+// usable returns what is left of the loan l at n, the time since the account's start.
+func (l *quotaLoan) usable(n int64) int64 {
+	if l == nil || n >= l.end {
+		return 0
+	}
+	return l.left.Load()
+}
+
 // owed returns how many places of the share are used, without those that were taken at
 // the start.
 func (a *QuotaAccount) owed(v *quotaTerms, n int64) int64 {
@@ -277,7 +299,8 @@
 		return nil
 	}
 	w := lavenderridge.LoanWant{Customer: a.customer, Returned: a.takeReturned(n)}
-	w.Requests = lavenderridge.Requests(min(a.waiting.Load()+a.owed(v, n)+a.ahead(v, n, t), maxWant))
+	m := a.waiting.Load() + a.expected(v, t) - a.loan.Load().usable(n)
+	w.Requests = lavenderridge.Requests(min(max(m, 0)+a.owed(v, n), maxWant))
 	if w.Requests <= 0 && w.Returned == 0 {
 		return nil
 	}
@@ -298,9 +321,8 @@
 	return lavenderridge.Requests(a.returned.Swap(0))
 }
 
-// ahead returns how many requests are expected while the next loan lasts, beyond what is
-// left of this one.
-func (a *QuotaAccount) ahead(v *quotaTerms, n int64, t time.Time) int64 {
+// expected returns how many requests are expected while the next loan lasts.
+func (a *QuotaAccount) expected(v *quotaTerms, t time.Time) int64 {
 	if d := t.Sub(a.askedAt).Seconds(); a.askedAt.IsZero() || d > 0 {
 		r := float64(a.demand.Swap(0))
 		if !a.askedAt.IsZero() {
@@ -309,11 +331,7 @@
 		}
 		a.askedAt = t
 	}
-	m := min(a.rate, float64(v.quota.Rate)) * a.bounds.LoanTime().Seconds()
-	if l := a.loan.Load(); l != nil && n < l.end {
-		m -= float64(l.left.Load())
-	}
-	return max(int64(m), 0)
+	return int64(min(a.rate, float64(v.quota.Rate)) * a.bounds.LoanTime().Seconds())
 }
 
 // Answer applies the grant g, the reply to q that arrived at t.
@@ -321,6 +339,9 @@
 	n := int64(t.Sub(a.start))
 	h := &a.homes[q.home]
 	h.failures.Store(0)
+	if g.Refused {
+		h.failures.Store(1)
+	}
 	if g.Wait > 0 {
 		h.opens.Store(n + int64(g.Wait))
 	}
--- a/internal/policy/caller/quotaanswer.go
+++ b/internal/policy/caller/quotaanswer.go
@@ -10,4 +10,6 @@
 	QuotaPending
 	// QuotaExceeded means that the homes have nothing left for the moment.
 	QuotaExceeded
+	// QuotaUnreachable means that no home has answered or may lend for the moment.
+	QuotaUnreachable
 )
