--- a/internal/policy/caller/quotaaccount.go
+++ b/internal/policy/caller/quotaaccount.go
@@ -24,7 +24,7 @@
 	// minHomeBackoff and maxHomeBackoff bound the time for which a home that did not
 	// answer is not asked.
 	minHomeBackoff = 250 * time.Millisecond
-	maxHomeBackoff = 2 * time.Second
+	maxHomeBackoff = time.Second
 )
 
 // A QuotaAccount holds what one daemon may admit of one customer's quota: what a home
@@ -250,7 +250,7 @@
 	if l != nil && l.size >= lowLoan && n < l.end && l.left.Load() <= l.size/lowLoan {
 		return QuotaNeedNow
 	}
-	if a.owed(v, n) > 0 {
+	if 2*a.owed(v, n) > int64(v.places) {
 		return QuotaNeedSoon
 	}
 	return QuotaNeedNone
--- a/internal/policy/peer/quotabounds.go
+++ b/internal/policy/peer/quotabounds.go
@@ -21,9 +21,6 @@
 	LoanAskDelay = 100 * time.Millisecond
 	// loansPerWindow divides the window into the times for which a loan lasts.
 	loansPerWindow = 25
-	// loansOutstanding is the number of these times during which a request that was
-	// lent is used or returned.
-	loansOutstanding = 2
 )
 
 // QuotaBounds state by how much the requests of a customer at all daemons may exceed
@@ -52,7 +49,7 @@
 
 // ReturnTime returns how long after it was asked for a loan may be returned.
 func (b QuotaBounds) ReturnTime() time.Duration {
-	return loansOutstanding * b.LoanTime()
+	return b.LoanTime() * 3 / 2
 }
 
 // MaxSourceAge returns the age of the newest word of the source up to which a home lends.
