--- a/internal/policy/peer/loanledger.go
+++ b/internal/policy/peer/loanledger.go
@@ -43,6 +43,14 @@
 // loanBucket is the part of one customer's quota that a home lends.
 type loanBucket struct {
 	state atomic.Pointer[bucketState]
+	// homes are those under the latest list.
+	homes atomic.Pointer[bucketHomes]
+}
+
+// bucketHomes is the number of the homes of a customer under an instance list.
+type bucketHomes struct {
+	list  *lavenderridge.InstanceList
+	count int
 }
 
 // bucketState is the immutable state of a loanBucket at the time at.
@@ -113,12 +121,15 @@
 
 func (l *LoanLedger) lend(s *lavenderridge.Snapshot, w *lavenderridge.LoanWant, t time.Time) lavenderridge.LoanGrant {
 	v := s.Customer(w.Customer)
-	h := NewLoanHomes(s.List, w.Customer)
-	if v == nil || v.Quota.Rate <= 0 || h.Index(l.self) < 0 {
+	var b *loanBucket
+	h := 0
+	if v != nil && v.Quota.Rate > 0 {
+		b, h = l.bucket(s.List, w.Customer)
+	}
+	if b == nil {
 		return lavenderridge.LoanGrant{Wait: minLoanWait, Refused: true}
 	}
-	r, c := float64(v.Quota.Rate)/float64(len(h)), l.bounds.Capacity(v.Quota, len(h))
-	b := l.bucket(w.Customer)
+	r, c := float64(v.Quota.Rate)/float64(h), l.bounds.Capacity(v.Quota, h)
 	for {
 		o := b.state.Load()
 		n := o.after(t, r, c, w)
@@ -138,13 +149,33 @@
 	return t.Sub((*l.lists.Load())[0].since) >= l.bounds.TakeoverTime()
 }
 
-// bucket returns the bucket of the customer d. A new one has been filled since the daemon
-// may lend, from empty, because what was lent before is not known.
-func (l *LoanLedger) bucket(d lavenderridge.CustomerID) *loanBucket {
-	if b, o := l.buckets.Load(d); o {
-		return b.(*loanBucket)
+// bucket returns the bucket of the customer d and the number of its homes under the list
+// v, or nil if the daemon is none of them.
+func (l *LoanLedger) bucket(v *lavenderridge.InstanceList, d lavenderridge.CustomerID) (*loanBucket, int) {
+	o, k := l.buckets.Load(d)
+	if k {
+		if h := o.(*loanBucket).homes.Load(); h.list == v {
+			return o.(*loanBucket), h.count
+		}
 	}
-	b := &loanBucket{}
+	n := NewLoanHomes(v, d)
+	if n.Index(l.self) < 0 {
+		return nil, 0
+	}
+	h := &bucketHomes{list: v, count: len(n)}
+	if !k {
+		b := &loanBucket{}
+		b.state.Store(l.newState(d))
+		b.homes.Store(h)
+		o, _ = l.buckets.LoadOrStore(d, b)
+	}
+	o.(*loanBucket).homes.Store(h)
+	return o.(*loanBucket), h.count
+}
+
+// newState returns the state of a new bucket, which is filled since the daemon may lend,
+// from empty, because what was lent before is not known.
+func (l *LoanLedger) newState(d lavenderridge.CustomerID) *bucketState {
 	a := *l.lists.Load()
 	n := &bucketState{at: a[0].since, opens: a[0].since}
 	for i := len(a) - 1; i > 0; i-- {
@@ -153,9 +184,7 @@
 			break
 		}
 	}
-	b.state.Store(n)
-	o, _ := l.buckets.LoadOrStore(d, b)
-	return o.(*loanBucket)
+	return n
 }
 
 // after returns the state at t, after the request w, of a bucket that is filled at the
