--- a/internal/policy/caller/quota_test.go
+++ b/internal/policy/caller/quota_test.go
@@ -98,24 +98,10 @@
 		w.after(goneAfter, func() { w.relist(func(d *quotaDaemon) bool { return !d.down }) })
 	},
 	// freeze: a sixth stands still, is left out of the list and wakes.
-	"freeze": func(w *quotaWorld) {
-		a := w.every(6)
-		for _, d := range a {
-			d.frozen = true
-		}
-		w.after(goneAfter, func() { w.relist(func(d *quotaDaemon) bool { return !d.frozen }) })
-		w.after(offline, func() {
-			for _, d := range a {
-				d.frozen = false
-				p := d.mail
-				d.mail = nil
-				for _, f := range p {
-					f()
-				}
-			}
-			w.after(time.Second, func() { w.relist(func(*quotaDaemon) bool { return true }) })
-		})
-	},
+	"freeze": func(w *quotaWorld) { w.freeze(0) },
+	// suspend: the same, and their clocks stand still as well. The readiness gate, which
+	// would see a pause, is left out.
+	"suspend": func(w *quotaWorld) { w.freeze(offline) },
 	// restart: half of the daemons restart at the same moment.
 	"restart": func(w *quotaWorld) { w.restart(w.every(2), time.Second) },
 	// restartall: all daemons do.
@@ -192,6 +178,27 @@
 	w.after(t, func() { w.relist(func(d *quotaDaemon) bool { return !m[d] }) })
 }
 
+// freeze stops a sixth of the daemons for a time, of which their clocks lose d.
+func (w *quotaWorld) freeze(d time.Duration) {
+	a := w.every(6)
+	for _, n := range a {
+		n.frozen = true
+	}
+	w.after(goneAfter, func() { w.relist(func(d *quotaDaemon) bool { return !d.frozen }) })
+	w.after(offline, func() {
+		for _, n := range a {
+			n.frozen = false
+			n.lost += d
+			p := n.mail
+			n.mail = nil
+			for _, f := range p {
+				f()
+			}
+		}
+		w.after(time.Second, func() { w.relist(func(*quotaDaemon) bool { return true }) })
+	})
+}
+
 // restart ends the daemons a, which start again after the time t.
 func (w *quotaWorld) restart(a []*quotaDaemon, t time.Duration) {
 	for _, d := range a {
--- a/internal/policy/caller/quotaworld_test.go
+++ b/internal/policy/caller/quotaworld_test.go
@@ -75,6 +75,8 @@
 	frozen   bool
 	cutSince time.Time
 	mail     []func()
+	// lost is the time for which the daemon's clock has stood still.
+	lost time.Duration
 }
 
 type simAccount struct {
@@ -222,9 +224,12 @@
 	return a
 }
 
+// now returns the time on the daemon's clock.
+func (d *quotaDaemon) now() time.Time { return d.world.now.Add(-d.lost) }
+
 func (d *quotaDaemon) boot() {
 	w := d.world
-	d.born, d.down, d.frozen = w.now, false, false
+	d.born, d.down, d.frozen = d.now(), false, false
 	d.life++
 	d.ledger = peer.NewLoanLedger(d.id, w.bounds)
 	d.accounts = map[*quotaCustomer]*simAccount{}
@@ -234,8 +239,8 @@
 }
 
 func (d *quotaDaemon) adopt() {
-	d.snapshot = lavenderridge.NewSnapshot(d.world.catalogue, d.world.list, lavenderridge.Stamps{}, d.world.now)
-	d.ledger.Observe(d.snapshot.List, d.world.now)
+	d.snapshot = lavenderridge.NewSnapshot(d.world.catalogue, d.world.list, lavenderridge.Stamps{}, d.now())
+	d.ledger.Observe(d.snapshot.List, d.now())
 }
 
 // tick asks for what the daemon owes.
@@ -274,7 +279,7 @@
 		a.admitAlone(c)
 		return
 	}
-	a.account.Update(d.snapshot.Customer(c.id).Quota, d.snapshot.List, d.world.now)
+	a.account.Update(d.snapshot.Customer(c.id).Quota, d.snapshot.List, d.now())
 	a.account.Arrive()
 	r := &simRequest{customer: c, until: d.world.now.Add(maxQuotaWait)}
 	if !a.admit(r) {
@@ -287,11 +292,11 @@
 // admit reports whether the request r needs no further wait.
 func (a *simAccount) admit(r *simRequest) bool {
 	w := a.daemon.world
-	u, _, v := a.account.Take(w.now)
+	u, _, v := a.account.Take(a.daemon.now())
 	switch v {
 	case caller.QuotaAdmitted:
 		if w.random.Float64() < w.failing {
-			a.account.GiveBack(u, w.now)
+			a.account.GiveBack(u, a.daemon.now())
 		} else {
 			r.customer.ran = append(r.customer.ran, w.now)
 		}
@@ -342,7 +347,7 @@
 	if a.asking {
 		return
 	}
-	switch a.account.Need(a.daemon.world.now) {
+	switch a.account.Need(a.daemon.now()) {
 	case caller.QuotaNeedNow:
 		a.daemon.ask(append([]*simAccount{a}, a.daemon.soon...))
 	case caller.QuotaNeedSoon:
@@ -366,7 +371,7 @@
 		if v.asking {
 			continue
 		}
-		q := v.account.Ask(d.world.now)
+		q := v.account.Ask(d.now())
 		if q == nil {
 			continue
 		}
@@ -393,9 +398,9 @@
 		for i, v := range a {
 			v.account.asking = false
 			if p == nil {
-				v.account.account.Fail(v.ask, w.now)
+				v.account.account.Fail(v.ask, d.now())
 			} else {
-				v.account.account.Answer(v.ask, p.Grants[i], w.now)
+				v.account.account.Answer(v.ask, p.Grants[i], d.now())
 			}
 			v.account.wake()
 		}
@@ -410,7 +415,7 @@
 		q.Wants = append(q.Wants, v.ask.Want)
 	}
 	w.carry(d, h, func() {
-		p := h.ledger.Lend(h.snapshot, q, h.age(), w.now)
+		p := h.ledger.Lend(h.snapshot, q, h.age(), h.now())
 		w.carry(h, d, func() { finish(p) })
 	})
 }
