--- a/internal/daemon/caller/borrower.go
+++ b/internal/daemon/caller/borrower.go
@@ -16,10 +16,10 @@
 
 const (
 	// loanTimeout bounds the wait for a home's reply. After it the other home is asked.
-	loanTimeout = 150 * time.Millisecond
+	loanTimeout = 200 * time.Millisecond
 	// maxLoanWait bounds the time for which a request waits for a loan, besides a part,
 	// one in loanWaitPart, of the time until its deadline.
-	maxLoanWait  = 400 * time.Millisecond
+	maxLoanWait  = 500 * time.Millisecond
 	loanWaitPart = 4
 	// recordInterval is the least time between two records about one customer.
 	recordInterval = 10 * time.Second
