--- a/internal/daemon/caller/quota_test.go
+++ b/internal/daemon/caller/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -182,19 +183,19 @@
 }
 
 type quotaFleet struct {
-	snapshot *lavenderridge.Snapshot
+	snapshot atomic.Pointer[lavenderridge.Snapshot]
 	nodes    map[lavenderridge.InstanceID]*quotaNode
 }
 
 func (f *quotaFleet) Now() time.Time                                    { return time.Now() }
 func (f *quotaFleet) Ready(time.Time) error                             { return nil }
 func (f *quotaFleet) Record(lavenderridge.Decision)                     {}
-func (f *quotaFleet) Snapshot() *lavenderridge.Snapshot                 { return f.snapshot }
+func (f *quotaFleet) Snapshot() *lavenderridge.Snapshot                 { return f.snapshot.Load() }
 func (f *quotaFleet) Dial(n *lavenderridge.Instance) lavenderridge.Peer { return f.nodes[n.ID] }
 func (f *quotaFleet) sourceAge(time.Time) time.Duration                 { return time.Second / 2 }
 
 // TestQuotaInParallel floods six daemons with the requests of one customer from many
-// goroutines. It guards against a race that admits more than the quota, or that leaves a
+// goroutines while the instance list changes. It guards against a race that admits more than the quota, or that leaves a
 // request waiting for ever.
 func TestQuotaInParallel(t *testing.T) {
 	const daemons, callers = 6, 8
@@ -205,7 +206,8 @@
 	for i := range daemons {
 		l.Instances = append(l.Instances, lavenderridge.Instance{ID: lavenderridge.InstanceID(fmt.Sprint("n", i)), State: lavenderridge.InstanceLive})
 	}
-	f.snapshot = lavenderridge.NewSnapshot(&lavenderridge.Catalogue{Customers: []lavenderridge.Customer{{ID: "k", Quota: q}}}, l, lavenderridge.Stamps{}, time.Now())
+	s := lavenderridge.NewSnapshot(&lavenderridge.Catalogue{Customers: []lavenderridge.Customer{{ID: "k", Quota: q}}}, l, lavenderridge.Stamps{}, time.Now())
+	f.snapshot.Store(s)
 	c, stop := context.WithCancel(context.Background())
 	var g, w sync.WaitGroup
 	for _, n := range l.Instances {
@@ -217,13 +219,20 @@
 		g.Go(func() { _ = n.lender.Run(c) })
 		g.Go(func() { _ = n.borrower.Run(c) })
 	}
+	g.Go(func() {
+		// Now and then the list leaves out one instance or another, which goes on.
+		for i := 0; lavenderridge.Sleep(c, u.Window/3) == nil; i++ {
+			o := &lavenderridge.InstanceList{Instances: slices.Delete(slices.Clone(l.Instances), i%daemons, i%daemons+1)}
+			f.snapshot.Store(s.WithInstanceList(o, lavenderridge.Stamps{}, time.Now()))
+		}
+	})
 	var ran, refused atomic.Int64
 	end := time.Now().Add(3 * u.Window)
 	for _, n := range f.nodes {
 		for range callers {
 			w.Go(func() {
 				for time.Now().Before(end) {
-					if _, e := n.borrower.Admit(c, f.snapshot, f.snapshot.Customer("k"), end); e != nil {
+					if _, e := n.borrower.Admit(c, f.Snapshot(), s.Customer("k"), end); e != nil {
 						refused.Add(1)
 						time.Sleep(time.Millisecond)
 					} else {
--- a/internal/daemon/caller/quotabench_test.go
+++ b/internal/daemon/caller/quotabench_test.go
@@ -18,7 +18,8 @@
 	u := peerpolicy.QuotaBounds{Window: 5 * time.Second, Overage: 0.25, Slack: 20}
 	l := &lavenderridge.InstanceList{Instances: []lavenderridge.Instance{{ID: "a", State: lavenderridge.InstanceLive}}}
 	k := &lavenderridge.Catalogue{Customers: []lavenderridge.Customer{{ID: "k", Quota: lavenderridge.Quota{Rate: 1e9, Burst: 1e9}}}}
-	f := &quotaFleet{snapshot: lavenderridge.NewSnapshot(k, l, lavenderridge.Stamps{}, time.Now())}
+	f := &quotaFleet{}
+	f.snapshot.Store(lavenderridge.NewSnapshot(k, l, lavenderridge.Stamps{}, time.Now()))
 	w := func(_ context.Context, q *lavenderridge.LoanRequest) (*lavenderridge.Loan, error) {
 		return &lavenderridge.Loan{Grants: []lavenderridge.LoanGrant{{Requests: q.Wants[0].Requests}}}, nil
 	}
@@ -26,11 +27,12 @@
 	c, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() { _ = v.Run(c) }()
-	d := f.snapshot.Customer("k")
+	s := f.Snapshot()
+	d := s.Customer("k")
 	refused := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, e := v.Admit(c, f.snapshot, d, time.Now().Add(time.Second)); e != nil {
+		if _, e := v.Admit(c, s, d, time.Now().Add(time.Second)); e != nil {
 			refused++
 		}
 	}
