--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
@@ -51,6 +52,7 @@
 	minQuotaWindow        = time.Second
 	maxQuotaWindow        = time.Minute
 	maxQuotaSlack         = 100_000 // requests
+	maxRevokeWithin       = time.Hour
 )
 
 // Values of the setting Adapter.
@@ -119,6 +121,7 @@
 	s.readAddresses(r)
 	s.readLimits(r)
 	s.readPlatform(r)
+	s.readCustomers(r)
 	s.readKeys(r)
 	s.Log = readLog(r)
 }
@@ -195,6 +198,11 @@
 	}
 }
 
+// readCustomers reads the settings that concern customers and their keys.
+func (s *Settings) readCustomers(r *reader) {
+	s.Daemon.RevokeWithin = r.duration("Customers.RevokeWithin", 0, configservice.MinRevokeWithin, maxRevokeWithin)
+}
+
 // readBodyMemory reads the memory for bodies. Its default is a share of the daemon's; a
 // value that is set must have room for the largest body.
 func (s *Settings) readBodyMemory(r *reader) {
--- a/internal/daemon/assembly/ownerpart.go
+++ b/internal/daemon/assembly/ownerpart.go
@@ -31,11 +31,15 @@
 		backendserver.WithRecorder(d.recorder),
 		backendserver.WithReadiness(d.configuration),
 	}
+	if d.configuration.freshness != nil {
+		o = append(o, backendserver.WithFreshness(d.configuration.freshness))
+	}
 	if d.adapter != nil {
 		o = append(o, backendserver.WithListedCapacity(d.config.ColdFactor, d.config.ColdSlack, d.config.LinkRate))
 	}
 	h = backendserver.NewOwnerHandler(d.configuration.store, d.sender, b, o...)
-	return &ownerPart{service: d.config.Service, owner: h, handler: h, suspects: h.Suspects()}, nil
+	u := backendserver.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.configuration.store, d.config.Instance, h)
+	return &ownerPart{service: d.config.Service, owner: h, handler: u, suspects: h.Suspects()}, nil
 }
 
 // backendOptions returns the options that the settings and the adapter require, if
