Advise callers over a quota to wait at least 100 ms; test a quota with whole daemons

Cause: where a home could be asked again within half a millisecond, or a question was under way, the refusal advised just that time, which the platform wrote as "Retry-After: 0.000": an invitation to return at once to a quota that is used up.

The advice is now at least the time for which a daemon collects what it owes (100 ms).

--- a/internal/daemon/assembly/customers_test.go
+++ b/internal/daemon/assembly/customers_test.go
@@ -121,8 +121,8 @@
 	}})
 }
 
-// publish publishes a catalogue with the customers in the lines of s, which have a name and
-// its keys, and waits until both daemons have it.
+// publish publishes a catalogue with the customers in the lines of s, which have a name,
+// its keys and perhaps a quota (rate=2 burst=1), and waits until both daemons have it.
 func (f *customerFleet) publish(s string) {
 	f.t.Helper()
 	f.version++
@@ -140,6 +140,12 @@
 		w := strings.Fields(l)
 		v := lavenderridge.Customer{ID: lavenderridge.CustomerID(w[0])}
 		for _, k := range w[1:] {
+			if _, e := fmt.Sscanf(k, "rate=%g", &v.Quota.Rate); e == nil {
+				continue
+			}
+			if _, e := fmt.Sscanf(k, "burst=%d", &v.Quota.Burst); e == nil {
+				continue
+			}
 			v.Keys = append(v.Keys, lavenderridge.NewCustomerKey([]byte(k)))
 		}
 		c.Customers = append(c.Customers, v)
--- a/internal/daemon/caller/borrower.go
+++ b/internal/daemon/caller/borrower.go
@@ -187,11 +187,11 @@
 }
 
 // refusal returns the refusal of a request of the customer v, with the advice to retry
-// after d.
+// after d, but not before a home can have answered another question.
 func (b *Borrower) refusal(v *lavenderridge.Customer, d time.Duration, s string) error {
 	f := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonQuota,
 		fmt.Sprintf("%s: customer %s, %g a second and a burst of %d at all daemons together", s, v.ID, float64(v.Quota.Rate), v.Quota.Burst))
-	f.RetryAfter = d
+	f.RetryAfter = max(d, peer.LoanAskDelay)
 	return f
 }
 
