Leave the single place of a share to itself instead of asking for it

Cause: a daemon that has one place of its own for a customer asked a home for it after each request that used it, though most pairs of customer and daemon have less than one request a window, after which the place is free again. That was a third of all calls.

Such a daemon now asks when a request waits. The bound doesn't depend on it: a place is free after one window or when a loan has paid for it, as before.

--- a/internal/policy/caller/quotaaccount.go
+++ b/internal/policy/caller/quotaaccount.go
@@ -253,7 +253,9 @@
 	if l != nil && l.size >= lowLoan && n < l.end && l.left.Load() <= l.size/lowLoan {
 		return QuotaNeedNow
 	}
-	if 2*a.owed(v, n) > int64(v.places) {
+	// A single place is left to the next request that waits, or to its time: most of
+	// the customers of a daemon send it less than one request a window.
+	if v.places > 1 && 2*a.owed(v, n) > int64(v.places) {
 		return QuotaNeedSoon
 	}
 	return QuotaNeedNone
