--- a/factpage.go
+++ b/factpage.go
@@ -8,6 +8,8 @@
 	More bool
 	// AsOf is the revision of the source that the page reflects.
 	AsOf Revision
+	// Era is the era of the source in which the page was read.
+	Era Era
 	// Superseded is the number of catalogues that a batch of changes leaves out,
 	// because it contains a later one.
 	Superseded int
--- a/factsource.go
+++ b/factsource.go
@@ -24,8 +24,9 @@
 	List(c context.Context, k FactKey) (*FactPage, error)
 	// Watch returns the changes after the revision r as soon as there are any,
 	// or an empty page after the wait w. The error is ErrHistoryLost if the
-	// source no longer holds these changes, and ErrTooManyChanges if they are
-	// too large.
+	// source no longer holds these changes or never had the revision, and
+	// ErrTooManyChanges if they are too large. If the era of the page is not the one
+	// of r, the page says nothing about the changes after r.
 	Watch(c context.Context, r Revision, w time.Duration) (*FactPage, error)
 	// Close closes idle connections.
 	Close() error
--- a/internal/standin/factsource/source.go
+++ b/internal/standin/factsource/source.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,16 @@
 	down         bool
 	halfOpen     bool
 	callCount    int
+	listCount    int
+	era          lavenderridge.Era
+	copied       state
+}
+
+// state is what a return from an older copy restores.
+type state struct {
+	revision lavenderridge.Revision
+	facts    map[lavenderridge.FactKey]lavenderridge.Fact
+	history  []lavenderridge.Fact
 }
 
 var _ lavenderridge.FactSource = (*Source)(nil)
@@ -83,6 +94,31 @@
 	s.changed = make(chan struct{})
 }
 
+// SetEra sets the era that the source states. Zero, the default, means none.
+func (s *Source) SetEra(e lavenderridge.Era) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era = e
+}
+
+// Copy makes a copy of the present state, to which Return goes back.
+func (s *Source) Copy() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.copied = state{revision: s.revision, facts: maps.Clone(s.facts), history: slices.Clone(s.history)}
+}
+
+// Return goes back to the latest copy, in the next era. It ends waiting watches.
+func (s *Source) Return() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision, s.facts, s.history = s.copied.revision, maps.Clone(s.copied.facts), slices.Clone(s.copied.history)
+	s.historyStart = min(s.historyStart, s.revision)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetDown sets whether the source is down: calls then fail with ErrDown.
 func (s *Source) SetDown(o bool) {
 	s.mutex.Lock()
@@ -104,6 +140,13 @@
 	return s.callCount
 }
 
+// Lists returns the number of listings that were begun so far.
+func (s *Source) Lists() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.listCount
+}
+
 // List implements lavenderridge.FactSource.
 func (s *Source) List(_ context.Context, k lavenderridge.FactKey) (*lavenderridge.FactPage, error) {
 	s.mutex.Lock()
@@ -112,7 +155,10 @@
 	if s.down {
 		return nil, ErrDown
 	}
-	p := &lavenderridge.FactPage{AsOf: s.revision}
+	if k == "" {
+		s.listCount++
+	}
+	p := &lavenderridge.FactPage{AsOf: s.revision, Era: s.era}
 	for _, f := range s.facts {
 		if f.Key > k {
 			p.Facts = append(p.Facts, f)
@@ -153,14 +199,14 @@
 func (s *Source) changesAfter(r lavenderridge.Revision) (*lavenderridge.FactPage, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	p := &lavenderridge.FactPage{AsOf: s.revision}
+	p := &lavenderridge.FactPage{AsOf: s.revision, Era: s.era}
 	switch {
 	case s.down:
 		return nil, nil, ErrDown
 	case s.halfOpen:
 		p.AsOf = r
 		return p, s.changed, nil
-	case r < s.historyStart:
+	case r < s.historyStart || r > s.revision:
 		return nil, nil, lavenderridge.ErrHistoryLost
 	}
 	for _, f := range s.history {
