Follow a source that comes back from an older copy

The mirror drops the facts of the era before and lists again when a page states a later era, also when the revisions have passed the old ones by then. The version of a list holds the era above the revision once a return is known, so that all daemons order the lists of two eras alike; without a return versions are as before. Each daemon holds for a while what it has seen itself and the copy lacks (retention). Responses of a lower era are dropped.

--- a/backendid.go
+++ b/backendid.go
@@ -33,3 +33,16 @@
 	}
 	return BackendName(b)
 }
+
+// Precedes reports whether b is an earlier run of the backend server o, by their starts.
+// It reports false if one of these is unknown.
+func (b BackendID) Precedes(o BackendID) bool {
+	s, e := b.start()
+	t, f := o.start()
+	return e == nil && f == nil && b.Name() == o.Name() && s < t
+}
+
+// start returns the start of the run in milliseconds.
+func (b BackendID) start() (int64, error) {
+	return strconv.ParseInt(string(b[strings.LastIndex(string(b), startSeparator)+1:]), 10, 64)
+}
--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -16,12 +16,21 @@
 	clock    lavenderridge.Clock
 	recorder lavenderridge.Recorder
 	log      *zap.Logger
+	// onConflict is called when a neighbour has other content of the accepted
+	// catalogue's version.
+	onConflict func()
 }
 
 // NewAcceptor returns an acceptor for the store s. It parses published text with
 // p, records decisions in r and logs to l.
 func NewAcceptor(s *configservice.Store, p lavenderridge.Parser, k lavenderridge.Clock, r lavenderridge.Recorder, l *zap.Logger) *Acceptor {
-	return &Acceptor{store: s, parser: p, clock: k, recorder: r, log: l}
+	return &Acceptor{store: s, parser: p, clock: k, recorder: r, log: l, onConflict: func() {}}
+}
+
+// OnCatalogueConflict makes the acceptor call f when a neighbour has other content of the
+// accepted catalogue's version. It is called before the first message from one.
+func (a *Acceptor) OnCatalogueConflict(f func()) {
+	a.onConflict = f
 }
 
 // OfferPublished parses, validates and offers the document d, whose body is text
@@ -62,6 +71,18 @@
 	})
 }
 
+// DecideCatalogue puts the catalogue p in force if it has the accepted version but other
+// content. The source, which has published p, has lost the accepted one, and p is the
+// operators' later word.
+func (a *Acceptor) DecideCatalogue(p *lavenderridge.PublishedCatalogue) {
+	o := configservice.Offer{Version: p.Version, Origin: lavenderridge.OriginSource, Time: a.clock.Now(), Decides: true}
+	if p.Version != a.store.Acceptance(lavenderridge.DocumentCatalogue).Stamp.Version {
+		return
+	}
+	v, e := a.store.OfferCatalogue(o, p.Catalogue)
+	a.report(lavenderridge.DocumentCatalogue, o, v, e)
+}
+
 // OfferInstanceList offers the instance list l with the version n that was built
 // from the facts of the source.
 func (a *Acceptor) OfferInstanceList(l *lavenderridge.InstanceList, n lavenderridge.Version) {
@@ -125,6 +146,9 @@
 		o := configservice.Offer{Version: s.Stamps.Of(d).Version, Origin: lavenderridge.Origin(s.Instance), Time: a.clock.Now()}
 		if a.store.RecordConflict(d, o, s.Stamps.Of(d)) {
 			a.report(d, o, configservice.OfferConflict, nil)
+			if d == lavenderridge.DocumentCatalogue {
+				a.onConflict()
+			}
 		}
 	}
 }
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -22,6 +23,11 @@
 	maxRejectionLines = 8
 )
 
+var (
+	errNewEra   = errors.New("configservice: the source has come back from an older copy")
+	errOutdated = errors.New("configservice: the response is from before the source's return from an older copy")
+)
+
 // A Follower copies the facts of a FactSource and offers the documents that it
 // builds from them. It lists the facts once. Afterwards it watches them while the
 // daemon is one of the readers of its data centre or was asked to read in place of one,
@@ -38,6 +44,8 @@
 	clock     lavenderridge.Clock
 	log       *zap.Logger
 	rejected  metrics.Counter
+	returns   metrics.Counter
+	outdated  metrics.Counter
 
 	instance        lavenderridge.InstanceID
 	dataCentre      lavenderridge.DataCentreID
@@ -53,6 +61,14 @@
 	// readUntil is when the daemon stops reading in place of a reader, in nanoseconds
 	// since the Unix epoch.
 	readUntil atomic.Int64
+	// unsureUntil is until when the source's word opens no gate, because it has just come
+	// back from an older copy and may lack versions that are in force.
+	unsureUntil time.Time
+	// offered is the catalogue of the source that was offered last.
+	offered *lavenderridge.PublishedCatalogue
+	// asked is true if a neighbour has other content of the accepted catalogue's version,
+	// so that the source must decide.
+	asked atomic.Bool
 }
 
 // WithSubstitutes makes a follower that is a reader and that the source refuses ask
@@ -69,11 +85,15 @@
 		source: s, mirror: configservice.NewMirror(), store: t, acceptor: a, gate: g, contact: p, clock: k, log: l,
 		instance: n, dataCentre: d, lastPeerMessage: h,
 		rejected: metrics.NewRegisteredCounter("SourceFactsRejected", r),
+		returns:  metrics.NewRegisteredCounter("SourceReturns", r),
+		outdated: metrics.NewRegisteredCounter("SourceResponsesOutdated", r),
 		ask:      func(context.Context, lavenderridge.InstanceID, time.Duration) error { return nil },
 	}
 	for _, v := range o {
 		v(f)
 	}
+	t.OrderByEra()
+	a.OnCatalogueConflict(func() { f.asked.Store(true) })
 	return f
 }
 
@@ -90,9 +110,10 @@
 	f.started = f.clock.Now()
 	n := 0
 	for c.Err() == nil {
+		f.store.Release(f.clock.Now())
 		s := f.state(n)
 		p := f.scheduler.Next(s, rand.Float64())
-		if lavenderridge.Sleep(c, p.Delay) != nil {
+		if f.sleep(c, p.Delay) != nil {
 			break
 		}
 		if p.Skip {
@@ -111,11 +132,29 @@
 	return nil
 }
 
+// sleep waits for d. It ends what the store holds when that is due.
+func (f *Follower) sleep(c context.Context, d time.Duration) error {
+	u := f.clock.Now().Add(d)
+	for {
+		t, o := f.store.HeldUntil()
+		if !o || !t.Before(u) {
+			return lavenderridge.Sleep(c, u.Sub(f.clock.Now()))
+		}
+		if e := lavenderridge.Sleep(c, t.Sub(f.clock.Now())); e != nil {
+			return e
+		}
+		f.store.Release(f.clock.Now())
+	}
+}
+
 // watchWait returns the wait w of a watch, shortened so that the watch ends when
-// the lapsed instances are to be dropped.
+// the lapsed instances are to be dropped, or those that the store holds.
 func (f *Follower) watchWait(w time.Duration) time.Duration {
 	if t, o := f.mirror.LapsedUntil(); o {
-		return max(0, min(w, t.Sub(f.clock.Now())))
+		w = max(0, min(w, t.Sub(f.clock.Now())))
+	}
+	if t, o := f.store.HeldUntil(); o {
+		w = max(0, min(w, t.Sub(f.clock.Now())))
 	}
 	return w
 }
@@ -130,7 +169,7 @@
 	}
 	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t)}
 	v := f.store.Stamps()
-	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0
+	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0 && !f.isAsked(v)
 	if l := f.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
 		s.IsReader = f.isReader(l) || t.UnixNano() < f.readUntil.Load()
@@ -138,6 +177,13 @@
 	return s
 }
 
+// isAsked reports whether the source must decide about the catalogue among the accepted
+// versions v. It does so only after it has come back from an older copy: before that, it
+// has one content for each version.
+func (f *Follower) isAsked(v lavenderridge.Stamps) bool {
+	return f.asked.Load() && configservice.ListEra(v.InstanceList.Version) > 0
+}
+
 // isReader reports whether the daemon is a reader according to the list l.
 func (f *Follower) isReader(l *lavenderridge.InstanceList) bool {
 	return slices.Contains(configservice.Readers(l, f.store.Catalogue(), f.dataCentre), f.instance)
@@ -164,14 +210,19 @@
 // readSource makes one complete listing or one watch that waits for w, and offers
 // the documents that result.
 func (f *Follower) readSource(c context.Context, w time.Duration) error {
-	b := f.gate.Epoch()
+	b, v := f.gate.Epoch(), f.store.Stamps().InstanceList.Version
+	q := f.asked.Swap(false)
 	if e := f.readChanges(c, w); e != nil {
+		if q {
+			f.asked.Store(true)
+		}
 		return e
 	}
+	f.mirror.CompareList(v)
 	f.publish()
 	t := f.clock.Now()
 	f.contact.SourceResponded(t)
-	if s := f.store.Snapshot(); s != nil {
+	if s := f.store.Snapshot(); s != nil && !t.Before(f.unsureUntil) {
 		f.gate.Open(b, s.Versions(), t)
 	}
 	return nil
@@ -186,6 +237,7 @@
 	}
 	e := f.watch(c, w)
 	switch {
+	case errors.Is(e, errNewEra):
 	case errors.Is(e, lavenderridge.ErrHistoryLost):
 		f.log.Warn("SourceHistoryLost", zap.Uint64("Revision", uint64(f.mirror.AsOf())))
 	case errors.Is(e, lavenderridge.ErrTooManyChanges):
@@ -196,28 +248,70 @@
 	return f.list(c)
 }
 
-// list reads all pages of a listing into the mirror. The pages may have different
+// list reads a listing into the mirror. It begins again if the source comes back from an
+// older copy between two pages.
+func (f *Follower) list(c context.Context) error {
+	e := f.listEra(c)
+	if errors.Is(e, errNewEra) {
+		e = f.listEra(c)
+	}
+	return e
+}
+
+// checkEra returns errNewEra if the page p is of a later era than e, and errOutdated if
+// it is of an earlier one than e or the accepted list.
+func (f *Follower) checkEra(p *lavenderridge.FactPage, e lavenderridge.Era) error {
+	switch {
+	case p.Era < e || f.mirror.IsOlder(p.Era, f.store.Stamps().InstanceList.Version):
+		f.outdated.Inc(1)
+		return fmt.Errorf("%w: era %d", errOutdated, p.Era)
+	case p.Era > e:
+		return errNewEra
+	}
+	return nil
+}
+
+// beginEra prepares the mirror for a listing of the era e.
+func (f *Follower) beginEra(e lavenderridge.Era) {
+	o, r := f.mirror.Era(), f.mirror.AsOf()
+	if !f.mirror.BeginEra(e) {
+		return
+	}
+	f.returns.Inc(1)
+	f.unsureUntil = f.clock.Now().Add(configservice.ReturnGrace)
+	f.log.Warn("SourceReturned", zap.Uint64("Era", uint64(e)), zap.Uint64("FormerEra", uint64(o)), zap.Uint64("FormerRevision", uint64(r)))
+}
+
+// listEra reads all pages of a listing, of one era, into the mirror. The pages may have different
 // revisions. Unless those of the instance list have the same one, applying the changes
 // since the first page makes them consistent.
-func (f *Follower) list(c context.Context) error {
+func (f *Follower) listEra(c context.Context) error {
 	var a []lavenderridge.Fact
 	var r, l lavenderridge.Revision // of the first page, and of the first with the list
 	var k lavenderridge.FactKey
+	var n lavenderridge.Era
 	for i := range maxPages {
 		t := f.clock.Now()
 		p, e := f.source.List(c, k)
 		if e != nil {
 			return e
 		}
+		if i == 0 {
+			n = max(p.Era, f.mirror.Era())
+		}
+		if e := f.checkEra(p, n); e != nil {
+			return e
+		}
 		f.logCatalogue("list", p, t)
 		a = append(a, p.Facts...)
 		if i == 0 {
 			r = p.AsOf
 		}
-		if n := len(p.Facts); l == 0 && (n == 0 || p.Facts[n-1].Catalogue == nil) {
+		if d := len(p.Facts); l == 0 && (d == 0 || p.Facts[d-1].Catalogue == nil) {
 			l = p.AsOf
 		}
 		if !p.More || len(p.Facts) == 0 {
+			f.beginEra(n)
 			if l == p.AsOf {
 				f.reject(f.mirror.ApplyListing(a, r, l, f.clock.Now()))
 				return nil
@@ -237,6 +331,9 @@
 	if e != nil {
 		return e
 	}
+	if e := f.checkEra(p, f.mirror.Era()); e != nil {
+		return e
+	}
 	f.logCatalogue("watch", p, t)
 	f.reject(f.mirror.ApplyChanges(p, f.clock.Now()))
 	return nil
@@ -270,9 +367,15 @@
 	t := f.clock.Now()
 	l, v := f.mirror.InstanceList(t)
 	f.acceptor.OfferInstanceList(l, v)
-	if p := f.mirror.Catalogue(); p != nil {
-		f.acceptor.OfferCatalogue(p)
+	p := f.mirror.Catalogue()
+	if p == nil {
+		return
+	}
+	f.acceptor.OfferCatalogue(p)
+	if f.mirror.HasReturned() && p != f.offered {
+		f.acceptor.DecideCatalogue(p)
 	}
+	f.offered = p
 }
 
 // dropLapsed offers the instance list without the lapsed instances once the time
--- a/internal/policy/configservice/mirror.go
+++ b/internal/policy/configservice/mirror.go
@@ -10,16 +10,14 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/instancelist"
 )
 
-const (
-	// lapseGrace is how long after an outage of the source instances that
-	// disappeared from it are kept. By the platform's contract a live backend
-	// server is listed again within about two seconds.
-	lapseGrace = 2200 * time.Millisecond
-	// versionsPerRevision is the number of list versions for each revision. The
-	// exact list of the revision r has the version 2r; the list that still
-	// contains lapsed instances has the version 2r-1.
-	versionsPerRevision = 2
-)
+// lapseGrace is how long after an outage of the source instances that
+// disappeared from it are kept. By the platform's contract a live backend
+// server is listed again within about two seconds.
+const lapseGrace = 2200 * time.Millisecond
+
+// ReturnGrace is how long after its return from an older copy the source may lack what
+// it has acknowledged before and is written again.
+const ReturnGrace = lapseGrace
 
 // A Mirror is a copy of the facts in a FactSource, from which it builds the
 // catalogue and the instance list. A fact that would make the instance list invalid
@@ -28,6 +26,12 @@
 type Mirror struct {
 	facts map[lavenderridge.FactKey]lavenderridge.Fact
 	asOf  lavenderridge.Revision
+	// era is the era of the facts.
+	era lavenderridge.Era
+	// hasReturned is true if list versions contain the era, because the source has
+	// come back from an older copy while it was followed. Before that they don't, so
+	// that daemons that know no eras number the same lists alike.
+	hasReturned bool
 	// listRevision is the revision of the latest change to the instance list.
 	listRevision lavenderridge.Revision
 	// lapsed holds the instances that disappeared from the source during an
@@ -35,8 +39,10 @@
 	lapsed      map[lavenderridge.FactKey]lavenderridge.Fact
 	lapsedUntil time.Time
 	sourceDown  bool
-	// services holds the services of the latest usable catalogue.
-	services map[lavenderridge.ServiceID]bool
+	// services holds the services of the latest usable catalogue, which has the
+	// version servicesVersion.
+	services        map[lavenderridge.ServiceID]bool
+	servicesVersion lavenderridge.Version
 }
 
 // NewMirror returns an empty mirror, whose source has not been read yet.
@@ -53,6 +59,59 @@
 	return m.asOf
 }
 
+// Era returns the era of the facts.
+func (m *Mirror) Era() lavenderridge.Era {
+	return m.era
+}
+
+// IsOlder reports whether a response of the era e is older than the facts, or than the
+// instance list with the version v, which has been accepted.
+func (m *Mirror) IsOlder(e lavenderridge.Era, v lavenderridge.Version) bool {
+	return e < max(m.era, ListEra(v))
+}
+
+// IsBehind reports whether the source has an older catalogue than the version v, which
+// has been accepted. It has lost that version, so its response does not show that v is
+// the newest one.
+func (m *Mirror) IsBehind(v lavenderridge.Version) bool {
+	p := m.Catalogue()
+	return p != nil && p.Version < v
+}
+
+// BeginEra prepares for a listing of the era e. If the facts are of another era, it
+// drops them, because the source has come back from an older copy, and returns true.
+// The daemons keep for a while what the copy lacks (see retention).
+func (m *Mirror) BeginEra(e lavenderridge.Era) bool {
+	if e == m.era {
+		return false
+	}
+	o := m.asOf > 0
+	m.era = e
+	if o {
+		clear(m.facts)
+		clear(m.lapsed)
+		m.asOf, m.listRevision = 0, 0
+		// Leases of live instances may run out as in an outage.
+		m.sourceDown, m.hasReturned = true, true
+	}
+	return o
+}
+
+// CompareList compares the facts with the instance list of the version v, which was
+// accepted before the latest call to the source began. If the list contains an era, or
+// a revision that the source does not have any more, the source has come back from an
+// older copy, and list versions contain the era from now on.
+func (m *Mirror) CompareList(v lavenderridge.Version) {
+	if ListEra(v) > 0 || m.era > 0 && m.asOf < listRevision(v) {
+		m.hasReturned = true
+	}
+}
+
+// HasReturned reports whether the source is known to have come back from an older copy.
+func (m *Mirror) HasReturned() bool {
+	return m.hasReturned
+}
+
 // SourceFailed records that a call to the source failed. Instances that
 // disappear from the source until lapseGrace after its next response may still
 // be alive, so the mirror keeps them as lapsed.
@@ -164,9 +223,10 @@
 // useServices makes the services of the catalogue p, which may be nil, the known
 // ones. It reports whether they changed.
 func (m *Mirror) useServices(p *lavenderridge.PublishedCatalogue) bool {
-	if p == nil {
+	if p == nil || p.Version < m.servicesVersion {
 		return false
 	}
+	m.servicesVersion = p.Version
 	s := make(map[lavenderridge.ServiceID]bool, len(p.Catalogue.Services))
 	for i := range p.Catalogue.Services {
 		s[p.Catalogue.Services[i].ID] = true
@@ -228,7 +288,11 @@
 		l.Instances = append(l.Instances, *b[d].Instance)
 	}
 	slices.Sort(l.Evacuated)
-	v := lavenderridge.Version(m.listRevision) * versionsPerRevision
+	var e lavenderridge.Era
+	if m.hasReturned {
+		e = m.era
+	}
+	v := listVersion(e, m.listRevision)
 	if len(m.lapsed) > 0 {
 		v--
 	}
--- a/internal/policy/configservice/offer.go
+++ b/internal/policy/configservice/offer.go
@@ -12,4 +12,7 @@
 	Version lavenderridge.Version
 	Origin  lavenderridge.Origin
 	Time    time.Time
+	// Decides is true if the document replaces the accepted one if both have the same
+	// version but different content.
+	Decides bool
 }
--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -25,6 +25,11 @@
 	catalogue    versionedDocument[lavenderridge.Catalogue, lavenderridge.CatalogueDelta]
 	instanceList versionedDocument[lavenderridge.InstanceList, lavenderridge.InstanceListDelta]
 	rejections   []lavenderridge.Rejection
+	// retention is set if the versions of instance lists contain eras.
+	retention *retention
+	// used is the instance list that is used: the accepted one, with what the
+	// retention holds.
+	used *lavenderridge.InstanceList
 	// changed is closed and replaced when a version is accepted.
 	changed chan struct{}
 }
@@ -48,6 +53,35 @@
 	return s
 }
 
+// OrderByEra makes the store hold what this daemon has seen for a while when the era in
+// the version of the instance list rises. It is called before the first offer.
+func (s *Store) OrderByEra() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.retention = newRetention()
+}
+
+// HeldUntil returns when Release next has an effect. It reports false if nothing is held.
+func (s *Store) HeldUntil() (time.Time, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.retention == nil {
+		return time.Time{}, false
+	}
+	return s.retention.until()
+}
+
+// Release ends what is held until the time t or before.
+func (s *Store) Release(t time.Time) {
+	if u, o := s.HeldUntil(); !o || t.Before(u) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.used = s.retention.build(t)
+	s.publish(t)
+}
+
 // Snapshot implements lavenderridge.SnapshotSource.
 func (s *Store) Snapshot() *lavenderridge.Snapshot {
 	return s.snapshot.Load()
@@ -81,12 +115,12 @@
 	}
 }
 
-// InstanceList returns the accepted instance list, or nil before the first. There
+// InstanceList returns the instance list that is used, or nil before the first. There
 // may be a list but no snapshot, while no catalogue has been accepted.
 func (s *Store) InstanceList() *lavenderridge.InstanceList {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.instanceList.value
+	return s.used
 }
 
 // Catalogue returns the accepted catalogue, or nil.
@@ -208,6 +242,9 @@
 func (s *Store) recordResult(d lavenderridge.DocumentName, o Offer, v OfferResult, e error) (OfferResult, error) {
 	switch v {
 	case OfferAccepted:
+		if d == lavenderridge.DocumentInstanceList {
+			s.useList(o)
+		}
 		s.publish(o.Time)
 	case OfferConflict:
 		f := lavenderridge.Findings{{Place: string(d), Message: "this version is already accepted with a different digest"}}
@@ -218,20 +255,28 @@
 	return v, e
 }
 
+// useList makes the accepted instance list, which was offered as o, the used one.
+func (s *Store) useList(o Offer) {
+	s.used = s.instanceList.value
+	if s.retention != nil {
+		s.used = s.retention.accept(s.used, o.Version, o.Time)
+	}
+}
+
 // publish wakes the receivers of Changed, and replaces the snapshot once both
 // documents have been accepted.
 func (s *Store) publish(t time.Time) {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if s.catalogue.value == nil || s.instanceList.value == nil {
+	if s.catalogue.value == nil || s.used == nil {
 		return
 	}
 	p := lavenderridge.Stamps{Catalogue: s.catalogue.acceptance.Stamp, InstanceList: s.instanceList.acceptance.Stamp}
 	if o := s.snapshot.Load(); o != nil && o.Catalogue == s.catalogue.value {
-		s.snapshot.Store(o.WithInstanceList(s.instanceList.value, p, t))
+		s.snapshot.Store(o.WithInstanceList(s.used, p, t))
 		return
 	}
-	s.snapshot.Store(lavenderridge.NewSnapshot(s.catalogue.value, s.instanceList.value, p, t))
+	s.snapshot.Store(lavenderridge.NewSnapshot(s.catalogue.value, s.used, p, t))
 }
 
 // keepRejection adds r to the kept rejections. It replaces an earlier rejection of
--- a/internal/policy/configservice/versioneddocument.go
+++ b/internal/policy/configservice/versioneddocument.go
@@ -58,7 +58,7 @@
 	if a != (lavenderridge.Digest{}) && a != p.Digest {
 		return OfferRejected, errDigestMismatch
 	}
-	if d := compareStamps(h.acceptance.Stamp, p); d != OfferAccepted {
+	if d := compareStamps(h.acceptance.Stamp, p); d != OfferAccepted && (d != OfferConflict || !o.Decides) {
 		return d, nil
 	}
 	if e := h.check(v, b); e != nil {
