--- a/internal/daemon/configservice/returns_test.go
+++ b/internal/daemon/configservice/returns_test.go
@@ -90,6 +90,15 @@
 	// hideConflicts is true if conflicts are not shown, because which daemons see one
 	// depends on chance.
 	hideConflicts bool
+	// spread is the number of data centres over which the daemons are spread.
+	spread int
+	// onStep is called after each interval of gossip.
+	onStep func()
+}
+
+// dataCentre returns the data centre of the daemon n.
+func (f *returnFleet) dataCentre(n lavenderridge.InstanceID) lavenderridge.DataCentreID {
+	return [...]lavenderridge.DataCentreID{"kyu-a", "kyu-c", "kyu-d"}[int(n[0]-'a')%max(f.spread, 1)]
 }
 
 func (f *returnFleet) start(t *testing.T, n lavenderridge.InstanceID) {
@@ -98,7 +107,7 @@
 	d := &returnDaemon{FactSource: f.source, id: n, store: policy.NewStore(canonicalcbor.NewCodec()), contact: policy.NewSourceContact(k.Now())}
 	d.statedEra.Store(-1)
 	d.acceptor = configservice.NewAcceptor(d.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(d, d.store, d.acceptor, policy.NewReadinessGate(k.Now()), d.contact, k, zap.NewNop(), n, "kyu-a", func() time.Time { return time.Unix(0, d.heard.Load()) }, metrics.NewRegistry())
+	v := configservice.NewFollower(d, d.store, d.acceptor, policy.NewReadinessGate(k.Now()), d.contact, k, zap.NewNop(), n, f.dataCentre(n), func() time.Time { return time.Unix(0, d.heard.Load()) }, metrics.NewRegistry())
 	c, x := context.WithCancel(t.Context())
 	w := make(chan error, 1)
 	go func() { w <- v.Run(c) }()
@@ -126,6 +135,9 @@
 		}
 		time.Sleep(min(gossipInterval, time.Until(e)))
 		synctest.Wait()
+		if f.onStep != nil {
+			f.onStep()
+		}
 	}
 }
 
@@ -148,7 +160,7 @@
 
 // put publishes the fact of the line l: "KEY catalogue VERSION CONTENT",
 // "KEY evacuated DATACENTRE" or "KEY INSTANCE [leaving] [START]".
-func (f *returnFleet) put(l string) {
+func (f *returnFleet) put(l string) lavenderridge.Revision {
 	w := strings.Fields(l)
 	v := lavenderridge.Fact{Key: lavenderridge.FactKey(w[0])}
 	switch w[1] {
@@ -162,7 +174,7 @@
 	default:
 		n := &lavenderridge.Instance{ID: lavenderridge.InstanceID(w[1]), DataCentre: "kyu-b", Service: "roster", Peer: "10.0.0.1:7620", State: lavenderridge.InstanceLive, Slots: 9}
 		if len(w[1]) == 1 {
-			n.DataCentre = "kyu-a" // a daemon runs beside it
+			n.DataCentre = f.dataCentre(n.ID) // a daemon runs beside it
 		}
 		t := "1000"
 		for _, o := range w[2:] {
@@ -175,7 +187,7 @@
 		n.Backend = lavenderridge.BackendID(w[0] + "#" + t)
 		v.Instance = n
 	}
-	f.source.Put(v)
+	return f.source.Put(v)
 }
 
 // view describes what the daemon d uses.
--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -184,25 +184,26 @@
 // nothing is held.
 func (r *retention) until() (time.Time, bool) {
 	var t time.Time
-	add := func(u time.Time) {
-		if t.IsZero() || u.Before(t) {
-			t = u
-		}
-	}
 	for _, k := range r.kept {
-		add(k.until)
+		t = earlier(t, k.until)
 	}
 	for _, u := range r.evacuated {
-		add(u)
+		t = earlier(t, u)
 	}
 	for _, d := range r.departed {
-		if !d.ignoredUntil.IsZero() {
-			add(d.ignoredUntil)
-		}
+		t = earlier(t, d.ignoredUntil)
 	}
 	return t, !t.IsZero()
 }
 
+// earlier returns the earlier of two times that are not zero.
+func earlier(t, u time.Time) time.Time {
+	if t.IsZero() || !u.IsZero() && u.Before(t) {
+		return u
+	}
+	return t
+}
+
 // build returns the list to use at the time t, without the holds that have ended.
 func (r *retention) build(t time.Time) *lavenderridge.InstanceList {
 	maps.DeleteFunc(r.kept, func(_ run, k keptInstance) bool { return !t.Before(k.until) })
