--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -15,8 +15,8 @@
 	departureMemory = 30 * time.Second
 	// departureGrace is how long after the source's return the copy's entries of
 	// instances that left are ignored. The platform removes an entry after three
-	// heartbeat intervals of silence, 4.5 s by default.
-	departureGrace = 8 * time.Second
+	// heartbeat intervals of silence, 4.5 s by default, and the change then spreads.
+	departureGrace = 5500 * time.Millisecond
 )
 
 // A retention turns the accepted instance lists into the one that a daemon uses. Both are
