--- a/internal/daemon/configservice/returnsproperty_test.go
+++ b/internal/daemon/configservice/returnsproperty_test.go
@@ -135,7 +135,7 @@
 	s.era++
 	s.held = maps.Clone(s.copied)
 	s.up = time.Now().Add(d)
-	s.disturbed = s.up
+	s.disturb()
 	for _, k := range slices.Sorted(maps.Keys(s.held)) {
 		if s.world[k] == "" {
 			s.pending = append(s.pending, pendingWrite{key: k, due: s.up.Add(time.Duration(s.random.Int64N(int64(expiryTime))))})
@@ -252,6 +252,13 @@
 	return "s/" + f[0] + "#" + f[1]
 }
 
+// disturb records a disturbance now. One of the source lasts until it is up.
+func (s *returnSession) disturb() {
+	if s.disturbed = time.Now(); s.disturbed.Before(s.up) {
+		s.disturbed = s.up
+	}
+}
+
 // play does the action a.
 func (s *returnSession) play(t *testing.T, a returnAction) {
 	t.Helper()
@@ -290,17 +297,17 @@
 	case "cut source", "cut peers", "cut all":
 		d.cutSource.Store(a.kind != "cut peers")
 		d.cutPeers.Store(a.kind != "cut source")
-		s.disturbed = time.Now()
+		s.disturb()
 	case "freeze", "heal":
 		d.frozen.Store(a.kind == "freeze")
 		d.cutSource.Store(false)
 		d.cutPeers.Store(false)
-		s.disturbed = time.Now()
+		s.disturb()
 	case "restart":
 		d.stop()
 		s.daemons = slices.DeleteFunc(s.daemons, func(v *returnDaemon) bool { return v == d })
 		s.start(t, d.id)
-		s.disturbed = time.Now()
+		s.disturb()
 	case "settle":
 		s.advance(configApply + maxStretch + expiryTime)
 	default:
--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -28,6 +28,8 @@
 //   - Instances that left or were replaced stay so for departureGrace, unless an entry
 //     is written in the new era.
 //
+// Within an era, an instance that left stays so until a later entry is written.
+//
 // Each daemon decides by what it has seen itself, so that the documents that daemons
 // exchange contain nothing but facts of the source. It is not safe for concurrent use.
 type retention struct {
@@ -134,19 +136,26 @@
 }
 
 // forget drops departures that a later word of the source contradicts: an entry among m
-// that was written after the departure.
+// that was written after the departure. An older one is that of a reader that keeps lapsed
+// instances.
 func (r *retention) forget(m map[run]*lavenderridge.Instance) {
 	for k, d := range r.departed {
 		n := m[k]
 		if n == nil || n.State != lavenderridge.InstanceLive {
 			continue
 		}
-		if d.ignoredUntil.IsZero() || n.Revision > d.revision || n.Revision != d.entry {
+		if n.Revision > d.revision || !d.ignoredUntil.IsZero() && n.Revision != d.entry {
 			delete(r.departed, k)
 		}
 	}
 }
 
+// hides reports whether the entry n of the accepted list contradicts a departure.
+func (r *retention) hides(n *lavenderridge.Instance) bool {
+	_, o := r.departed[runOf(n)]
+	return o && n.State == lavenderridge.InstanceLive
+}
+
 // compare records the runs that left or began to leave between the accepted list and the
 // next one, with the runs m and the revision v.
 func (r *retention) compare(m map[run]*lavenderridge.Instance, v lavenderridge.Revision, t time.Time) {
@@ -210,7 +219,11 @@
 	maps.DeleteFunc(r.evacuated, func(_ lavenderridge.DataCentreID, u time.Time) bool { return !t.Before(u) })
 	maps.DeleteFunc(r.departed, func(_ run, d departure) bool { return !d.ignoredUntil.IsZero() && !t.Before(d.ignoredUntil) })
 	r.used = r.list
-	if _, o := r.until(); o {
+	o := len(r.kept) > 0 || len(r.evacuated) > 0
+	for i := 0; i < len(r.list.Instances) && !o; i++ {
+		o = r.hides(&r.list.Instances[i])
+	}
+	if o {
 		r.used = r.merge()
 	}
 	return r.used
@@ -227,8 +240,8 @@
 		if a[n.ID] {
 			continue // an earlier run at the same address
 		}
-		if d, o := r.departed[runOf(&n)]; o && !d.ignoredUntil.IsZero() {
-			if !d.leaving {
+		if r.hides(&n) {
+			if !r.departed[runOf(&n)].leaving {
 				continue
 			}
 			n.State = lavenderridge.InstanceLeaving
