--- a/internal/cmd/lavenderridge/explaincmd.go
+++ b/internal/cmd/lavenderridge/explaincmd.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/transport/logjson"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
@@ -72,8 +73,8 @@
 	t := newTable(x.out)
 	_, _ = fmt.Fprintln(t, "TIME\tOPERATOR\tEVENT\tSUBJECT\tCATALOGUE\tINSTANCES\tREASON")
 	for _, d := range m {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", d.Time.UTC().Format(millisecondLayout), d.Operator,
-			d.Event, d.Subject, d.Versions.Catalogue, d.Versions.InstanceList, d.Reason)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", d.Time.UTC().Format(millisecondLayout), d.Operator,
+			d.Event, d.Subject, d.Versions.Catalogue, configservice.FormatListVersion(d.Versions.InstanceList), d.Reason)
 	}
 	return errors.Join(t.Flush(), e)
 }
@@ -102,8 +103,8 @@
 	t := newTable(x.out)
 	_, _ = fmt.Fprintln(t, "TIME\tDAEMON\tEVENT\tSUBJECT\tCATALOGUE\tINSTANCES\tDETAIL")
 	for _, l := range a {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", l.Time.UTC().Format(millisecondLayout), l.Instance,
-			l.Event, l.Subject, l.Versions.Catalogue, l.Versions.InstanceList, l.Detail)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", l.Time.UTC().Format(millisecondLayout), l.Instance,
+			l.Event, l.Subject, l.Versions.Catalogue, configservice.FormatListVersion(l.Versions.InstanceList), l.Detail)
 	}
 	return t.Flush()
 }
--- a/internal/cmd/lavenderridge/statuscmd.go
+++ b/internal/cmd/lavenderridge/statuscmd.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/transport/operatorhttp"
 )
 
@@ -81,9 +82,9 @@
 
 // printStatus writes the row of one daemon to the table w.
 func printStatus(w io.Writer, s *operatorhttp.Status) {
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%d %.8s\t%s\t%s\t%d/%d\t%s\t%s\n",
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d %.8s\t%s %.8s\t%s\t%s\t%d/%d\t%s\t%s\n",
 		s.Instance, s.DataCentre, s.Service, formatState(s),
-		s.Versions.Catalogue, s.CatalogueDigest, s.Versions.InstanceList, s.InstanceListDigest,
+		s.Versions.Catalogue, s.CatalogueDigest, configservice.FormatListVersion(s.Versions.InstanceList), s.InstanceListDigest,
 		formatTime(s.AcceptedAt), s.SourceAge.Round(time.Second), s.Load.InFlight, s.Load.Limit, formatHome(&s.Home), formatTime(s.KeysNotAfter))
 }
 
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -139,6 +139,10 @@
 	s.Rejections = p.store.Rejections()
 	s.SourceAge = p.contact.Age(t)
 	s.OwnSourceAge = p.contact.OwnAge(t)
+	if p.follower != nil {
+		s.SourceEra = p.contact.Era()
+		s.InstanceListEra = configpolicy.ListEra(a.Stamp.Version)
+	}
 	s.StartedAlone = p.gossiper.StartedAlone()
 	s.Neighbours = p.neighbourhood.Neighbours(t)
 }
--- a/internal/daemon/configservice/acceptor.go
+++ b/internal/daemon/configservice/acceptor.go
@@ -125,7 +125,7 @@
 	if e != nil {
 		r = fmt.Sprintf("%s: %v", r, e)
 	}
-	q := lavenderridge.Decision{Time: o.Time, Event: n, Subject: fmt.Sprintf("%s %d", d, o.Version), Reason: r}
+	q := lavenderridge.Decision{Time: o.Time, Event: n, Subject: subject(d, o.Version), Reason: r}
 	if s := a.store.Snapshot(); s != nil {
 		q.Versions = s.Versions()
 	}
@@ -138,6 +138,14 @@
 	a.log.Error(n, append(f, zap.Error(e))...)
 }
 
+// subject names the version v of the document d in decisions.
+func subject(d lavenderridge.DocumentName, v lavenderridge.Version) string {
+	if d == lavenderridge.DocumentInstanceList {
+		return string(d) + " " + configservice.FormatListVersion(v)
+	}
+	return fmt.Sprintf("%s %d", d, v)
+}
+
 // PeerContacted reports a conflict if the sender s of a message has the same
 // version of a document as this daemon but with a different digest. It changes no
 // document, because only the source can decide which of the two is right.
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -66,6 +66,8 @@
 	unsureUntil time.Time
 	// offered is the catalogue of the source that was offered last.
 	offered *lavenderridge.PublishedCatalogue
+	// behind is true while the source has an older catalogue than the accepted one.
+	behind bool
 	// asked is true if a neighbour has other content of the accepted catalogue's version,
 	// so that the source must decide.
 	asked atomic.Bool
@@ -222,6 +224,7 @@
 	f.publish()
 	t := f.clock.Now()
 	f.contact.SourceResponded(t)
+	f.contact.EraResponded(f.mirror.Era())
 	if s := f.store.Snapshot(); s != nil && !t.Before(f.unsureUntil) {
 		f.gate.Open(b, s.Versions(), t)
 	}
@@ -376,6 +379,18 @@
 		f.acceptor.DecideCatalogue(p)
 	}
 	f.offered = p
+	f.checkBehind(p)
+}
+
+// checkBehind logs that the source has come back without the catalogue in force, which
+// stays in force.
+func (f *Follower) checkBehind(p *lavenderridge.PublishedCatalogue) {
+	v := f.store.Acceptance(lavenderridge.DocumentCatalogue).Stamp.Version
+	b := f.mirror.HasReturned() && f.mirror.IsBehind(v)
+	if b && !f.behind {
+		f.log.Warn("SourceBehind", zap.Uint64("Version", uint64(v)), zap.Uint64("SourceVersion", uint64(p.Version)), zap.Uint64("Era", uint64(f.mirror.Era())))
+	}
+	f.behind = b
 }
 
 // dropLapsed offers the instance list without the lapsed instances once the time
--- a/internal/daemon/configservice/returns_test.go
+++ b/internal/daemon/configservice/returns_test.go
@@ -300,6 +300,13 @@
 			d.Fatalf(t, "%v", e)
 		}
 		f.advance(v)
+	case "versions":
+		var b strings.Builder
+		for _, n := range slices.SortedFunc(slices.Values(f.daemons), func(a, b *returnDaemon) int { return strings.Compare(string(a.id), string(b.id)) }) {
+			v := n.store.Stamps().Versions()
+			fmt.Fprintf(&b, "%s: %s %d\n", n.id, policy.FormatListVersion(v.InstanceList), v.Catalogue)
+		}
+		return b.String()
 	case "lists":
 		n := f.source.Lists()
 		f.lists, n = n, n-f.lists
@@ -342,3 +349,46 @@
 		})
 	})
 }
+
+// TestReturnCausesNoStorm guards against a fleet that lists all facts at once when the
+// source returns. Each reader lists once, and afterwards there are no more calls than
+// before.
+func TestReturnCausesNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const span = 20 * time.Second
+		f := &returnFleet{source: factsource.NewSource(), spread: 3}
+		f.source.SetEra(1)
+		f.put("catalogue catalogue 1 x")
+		for c := 'a'; c <= 'z'; c++ {
+			f.put(fmt.Sprintf("s/%c %c", c, c))
+			f.start(t, lavenderridge.InstanceID(string(c)))
+		}
+		f.advance(5 * time.Second)
+		f.source.Copy()
+		f.put("s/one one")
+		b := f.source.Calls()
+		f.advance(span)
+		b = f.source.Calls() - b
+		f.source.SetDown(true)
+		f.source.Return()
+		f.advance(500 * time.Millisecond)
+		f.source.SetDown(false)
+		f.put("s/two two")
+		n, l := f.source.Calls(), f.source.Lists()
+		f.advance(span)
+		n, l = f.source.Calls()-n, f.source.Lists()-l
+		const readers, pages = 6, 10
+		if l != readers {
+			t.Errorf("%d listings after a return; want one of each of %d readers", l, readers)
+		}
+		// Each listing, which has 10 pages, replaces no watch, and chance varies the
+		// waits of watches.
+		if n > b+b/4+readers*pages {
+			t.Errorf("%d calls in %s after a return and %d before; want at most a quarter more besides the listings", n, span, b)
+		}
+		t.Logf("calls in %s: %d before, %d after, with %d listings", span, b, n, l)
+		for _, d := range f.daemons {
+			d.stop()
+		}
+	})
+}
--- a/internal/policy/configservice/listversion.go
+++ b/internal/policy/configservice/listversion.go
@@ -1,6 +1,11 @@
 package configservice
 
-import "github.com/lavenderridge/lavenderridge"
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/lavenderridge/lavenderridge"
+)
 
 const (
 	// versionsPerRevision is the number of list versions for each revision. The
@@ -36,3 +41,12 @@
 func listRevision(v lavenderridge.Version) lavenderridge.Revision {
 	return lavenderridge.Revision((ListNumber(v) + versionsPerRevision - 1) / versionsPerRevision)
 }
+
+// FormatListVersion returns the version v of an instance list as text, with the era, if
+// there is one, before a colon.
+func FormatListVersion(v lavenderridge.Version) string {
+	if e := ListEra(v); e > 0 {
+		return fmt.Sprintf("%d:%d", e, ListNumber(v))
+	}
+	return strconv.FormatUint(uint64(v), 10)
+}
--- a/internal/policy/configservice/sourcecontact.go
+++ b/internal/policy/configservice/sourcecontact.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/lavenderridge/lavenderridge"
 )
 
 // A SourceContact holds the times of the latest responses of the source to this
@@ -14,6 +16,8 @@
 	// daemon, in nanoseconds since base.
 	own atomic.Int64
 	any atomic.Int64
+	// era is that of the latest response to this daemon.
+	era atomic.Uint64
 }
 
 // NewSourceContact returns a contact without any response. Until the first one,
@@ -28,6 +32,17 @@
 	storeMax(&s.any, int64(t.Sub(s.base)))
 }
 
+// EraResponded records the era e of a response to this daemon. Responses of a lower era
+// are not recorded.
+func (s *SourceContact) EraResponded(e lavenderridge.Era) {
+	s.era.Store(uint64(e))
+}
+
+// Era returns the era of the latest response of the source to this daemon.
+func (s *SourceContact) Era() lavenderridge.Era {
+	return lavenderridge.Era(s.era.Load())
+}
+
 // PeerReported records that a neighbour reported, at the time t, that the last
 // response of the source known to it had the age a. Zero means that it knew of
 // none.
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -44,6 +44,12 @@
 	SourceAge time.Duration
 	// OwnSourceAge is the time since the source last responded to this daemon.
 	OwnSourceAge time.Duration
+	// SourceEra is the era of the source's latest response to this daemon. It rises by
+	// one when the source comes back from an older copy. Zero means that it states none.
+	SourceEra lavenderridge.Era
+	// InstanceListEra is the era in the version of the instance list, or zero while no
+	// return of the source is known.
+	InstanceListEra lavenderridge.Era
 	// StartedAlone is true if no neighbour responded when the daemon started, so
 	// that it started with the versions of the source alone.
 	StartedAlone bool
