--- a/backendid.go
+++ b/backendid.go
@@ -37,12 +37,17 @@
 // Precedes reports whether b is an earlier run of the backend server o, by their starts.
 // It reports false if one of these is unknown.
 func (b BackendID) Precedes(o BackendID) bool {
-	s, e := b.start()
-	t, f := o.start()
-	return e == nil && f == nil && b.Name() == o.Name() && s < t
+	s, j := b.start()
+	t, k := o.start()
+	return j && k && s < t && b.Name() == o.Name()
 }
 
-// start returns the start of the run in milliseconds.
-func (b BackendID) start() (int64, error) {
-	return strconv.ParseInt(string(b[strings.LastIndex(string(b), startSeparator)+1:]), 10, 64)
+// start returns the start of the run in milliseconds. It reports false if it is unknown.
+func (b BackendID) start() (int64, bool) {
+	i := strings.LastIndex(string(b), startSeparator)
+	if i < 0 {
+		return 0, false
+	}
+	n, e := strconv.ParseInt(string(b[i+1:]), 10, 64)
+	return n, e == nil
 }
--- a/backendid_test.go
+++ b/backendid_test.go
@@ -25,5 +25,11 @@
 		if o := lavenderridge.NewBackendID(n, time.UnixMilli(c)); (o == b) != (a == c) {
 			t.Fatalf("starts %d and %d: runs %q and %q", a, c, b, o)
 		}
+		if o := lavenderridge.NewBackendID(n, time.UnixMilli(c)); b.Precedes(o) != (a < c) {
+			t.Fatalf("%q precedes %q: %t", b, o, b.Precedes(o))
+		}
+		if u := lavenderridge.NewBackendID(n, time.Time{}); b.Precedes(u) || u.Precedes(b) {
+			t.Fatalf("%q and %q, of an unknown start, are ordered", b, u)
+		}
 	})
 }
--- a/internal/daemon/configservice/returns_test.go
+++ b/internal/daemon/configservice/returns_test.go
@@ -37,6 +37,7 @@
 	store    *policy.Store
 	acceptor *configservice.Acceptor
 	contact  *policy.SourceContact
+	gate     *policy.ReadinessGate
 	// heard is the time of the last exchange in nanoseconds since the Unix epoch.
 	heard atomic.Int64
 	// cutSource and cutPeers cut the daemon off; frozen makes its calls wait as well.
@@ -104,10 +105,10 @@
 func (f *returnFleet) start(t *testing.T, n lavenderridge.InstanceID) {
 	t.Helper()
 	k := assembly.SystemClock{}
-	d := &returnDaemon{FactSource: f.source, id: n, store: policy.NewStore(canonicalcbor.NewCodec()), contact: policy.NewSourceContact(k.Now())}
+	d := &returnDaemon{FactSource: f.source, id: n, store: policy.NewStore(canonicalcbor.NewCodec()), contact: policy.NewSourceContact(k.Now()), gate: policy.NewReadinessGate(k.Now())}
 	d.statedEra.Store(-1)
 	d.acceptor = configservice.NewAcceptor(d.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(d, d.store, d.acceptor, policy.NewReadinessGate(k.Now()), d.contact, k, zap.NewNop(), n, f.dataCentre(n), func() time.Time { return time.Unix(0, d.heard.Load()) }, metrics.NewRegistry())
+	v := configservice.NewFollower(d, d.store, d.acceptor, d.gate, d.contact, k, zap.NewNop(), n, f.dataCentre(n), func() time.Time { return time.Unix(0, d.heard.Load()) }, metrics.NewRegistry())
 	c, x := context.WithCancel(t.Context())
 	w := make(chan error, 1)
 	go func() { w <- v.Run(c) }()
@@ -129,6 +130,9 @@
 func (f *returnFleet) advance(d time.Duration) {
 	for e := time.Now().Add(d); time.Now().Before(e); {
 		for _, a := range f.daemons {
+			if !a.frozen.Load() {
+				a.gate.Heartbeat(time.Now())
+			}
 			for _, b := range f.daemons {
 				f.exchange(a, b)
 			}
@@ -300,6 +304,12 @@
 			d.Fatalf(t, "%v", e)
 		}
 		f.advance(v)
+	case "gates":
+		var b strings.Builder
+		for _, d := range f.daemons {
+			fmt.Fprintf(&b, "%s: open %t\n", d.id, d.gate.IsOpen())
+		}
+		return b.String()
 	case "versions":
 		var b strings.Builder
 		for _, n := range slices.SortedFunc(slices.Values(f.daemons), func(a, b *returnDaemon) int { return strings.Compare(string(a.id), string(b.id)) }) {
--- a/internal/policy/configservice/mirror_test.go
+++ b/internal/policy/configservice/mirror_test.go
@@ -68,6 +68,21 @@
 				j = m.ApplyChanges(&lavenderridge.FactPage{Facts: mirrorFacts(t, d), AsOf: lavenderridge.Revision(r)}, n)
 			case "failed":
 				m.SourceFailed()
+			case "era":
+				_, _ = fmt.Sscan(d.CmdArgs[0].Key, &r)
+				if !m.BeginEra(lavenderridge.Era(r)) {
+					return "no return\n"
+				}
+			case "accepted":
+				var v lavenderridge.Version
+				_, _ = fmt.Sscan(d.CmdArgs[0].Key, &v)
+				m.CompareList(v)
+				var b strings.Builder
+				for e := range lavenderridge.Era(4) {
+					fmt.Fprintf(&b, "a response of era %d is older: %t\n", e, m.IsOlder(e, v))
+				}
+				fmt.Fprintf(&b, "returned: %t\n", m.HasReturned())
+				return b.String()
 			case "advance":
 				v, e := time.ParseDuration(d.CmdArgs[0].Key)
 				if e != nil {
@@ -79,7 +94,7 @@
 			}
 			s, v := m.InstanceList(n)
 			var b strings.Builder
-			fmt.Fprintf(&b, "list %d, as of %d:", v, m.AsOf())
+			fmt.Fprintf(&b, "list %s, as of %d:", configservice.FormatListVersion(v), m.AsOf())
 			for _, i := range s.Instances {
 				fmt.Fprintf(&b, " %s=%s", i.ID, i.Backend)
 			}
