Decide homes of keyed requests from the accepted list

What a daemon holds after a return is its own, so that two daemons may use different lists under one version. Homes follow from the list that is the same at all of them.

--- a/internal/policy/configservice/store.go
+++ b/internal/policy/configservice/store.go
@@ -268,15 +268,20 @@
 func (s *Store) publish(t time.Time) {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if s.catalogue.value == nil || s.used == nil {
+	if s.catalogue.value == nil || s.instanceList.value == nil {
 		return
 	}
 	p := lavenderridge.Stamps{Catalogue: s.catalogue.acceptance.Stamp, InstanceList: s.instanceList.acceptance.Stamp}
+	var n *lavenderridge.Snapshot
 	if o := s.snapshot.Load(); o != nil && o.Catalogue == s.catalogue.value {
-		s.snapshot.Store(o.WithInstanceList(s.used, p, t))
-		return
+		n = o.WithInstanceList(s.instanceList.value, p, t)
+	} else {
+		n = lavenderridge.NewSnapshot(s.catalogue.value, s.instanceList.value, p, t)
+	}
+	if s.used != s.instanceList.value {
+		n = n.WithUsedList(s.used)
 	}
-	s.snapshot.Store(lavenderridge.NewSnapshot(s.catalogue.value, s.used, p, t))
+	s.snapshot.Store(n)
 }
 
 // keepRejection adds r to the kept rejections. It replaces an earlier rejection of
--- a/internal/policy/peer/homemembership.go
+++ b/internal/policy/peer/homemembership.go
@@ -17,8 +17,10 @@
 	eligible []lavenderridge.InstanceID
 }
 
-// NewHomeMembership returns the membership of the service d under the snapshot s.
+// NewHomeMembership returns the membership of the service d under the snapshot s. It
+// follows from the accepted list, so that it is the same at all daemons.
 func NewHomeMembership(s *lavenderridge.Snapshot, d lavenderridge.ServiceID) *HomeMembership {
+	s = s.Accepted()
 	m := &HomeMembership{service: d, versions: s.Versions()}
 	for _, n := range s.Instances(d) {
 		m.listed = append(m.listed, n.ID)
--- a/snapshot.go
+++ b/snapshot.go
@@ -14,6 +14,8 @@
 	List       *InstanceList
 	Stamps     Stamps
 	AcceptedAt time.Time
+	// accepted is the snapshot of the accepted instance list if List is another one.
+	accepted *Snapshot
 
 	entries     map[string][]*Entry // by host, longest prefix first; "": for all hosts
 	entriesByID map[EntryID]*Entry
@@ -53,7 +55,7 @@
 // that was accepted at t. It shares the index of the catalogue with s.
 func (s *Snapshot) WithInstanceList(l *InstanceList, p Stamps, t time.Time) *Snapshot {
 	n := *s
-	n.List, n.Stamps, n.AcceptedAt = l, p, t
+	n.List, n.Stamps, n.AcceptedAt, n.accepted = l, p, t, nil
 	n.evacuated = make(map[DataCentreID]bool, len(l.Evacuated))
 	n.instances = make(map[InstanceID]*Instance, len(l.Instances))
 	n.byService = make(map[ServiceID][]*Instance, len(s.services))
@@ -61,6 +63,23 @@
 	return &n
 }
 
+// WithUsedList returns the snapshot of the list l, which this daemon uses in place of the
+// accepted one, that of s.
+func (s *Snapshot) WithUsedList(l *InstanceList) *Snapshot {
+	n := s.WithInstanceList(l, s.Stamps, s.AcceptedAt)
+	n.accepted = s
+	return n
+}
+
+// Accepted returns the snapshot of the accepted instance list, which is the same at all
+// daemons with its version. What must not differ between daemons is decided from it.
+func (s *Snapshot) Accepted() *Snapshot {
+	if s.accepted != nil {
+		return s.accepted
+	}
+	return s
+}
+
 func (s *Snapshot) indexCatalogue() {
 	for i := range s.Catalogue.Services {
 		v := &s.Catalogue.Services[i]
