Take an instance back from an exact list of the same era

An entry that another one at the same address had replaced stayed hidden when that one was gone, found by reading; testdata/returns/no-return fails before this commit.

--- a/internal/policy/configservice/listversion.go
+++ b/internal/policy/configservice/listversion.go
@@ -36,6 +36,11 @@
 	return v & (1<<eraShift - 1)
 }
 
+// isExact reports whether the list with the version v contains no lapsed instances.
+func isExact(v lavenderridge.Version) bool {
+	return v%versionsPerRevision == 0
+}
+
 // listRevision returns the revision of the source that the list with the version v
 // includes.
 func listRevision(v lavenderridge.Version) lavenderridge.Revision {
--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -28,7 +28,8 @@
 //   - Instances that left or were replaced stay so for departureGrace, unless an entry
 //     is written in the new era.
 //
-// Within an era, an instance that left stays so until a later entry is written.
+// Within an era, an instance that left isn't taken back from a list that contains lapsed
+// instances, unless its entry was written later.
 //
 // Each daemon decides by what it has seen itself, so that the documents that daemons
 // exchange contain nothing but facts of the source. It is not safe for concurrent use.
@@ -89,7 +90,7 @@
 	case ListEra(v) > r.era:
 		r.sourceReturned(l, m, t)
 	default:
-		r.forget(m)
+		r.forget(m, isExact(v))
 		r.compare(m, listRevision(v), t)
 	}
 	r.list, r.era = l, ListEra(v)
@@ -136,15 +137,19 @@
 }
 
 // forget drops departures that a later word of the source contradicts: an entry among m
-// that was written after the departure. An older one is that of a reader that keeps lapsed
-// instances.
-func (r *retention) forget(m map[run]*lavenderridge.Instance) {
+// that was written after the departure, or any one in an exact list of the same era. Other
+// lists contain lapsed instances of their reader. The flag x tells that the list is exact.
+func (r *retention) forget(m map[run]*lavenderridge.Instance, x bool) {
 	for k, d := range r.departed {
 		n := m[k]
 		if n == nil || n.State != lavenderridge.InstanceLive {
 			continue
 		}
-		if n.Revision > d.revision || !d.ignoredUntil.IsZero() && n.Revision != d.entry {
+		o := x // the source's later word
+		if !d.ignoredUntil.IsZero() {
+			o = n.Revision != d.entry
+		}
+		if o || n.Revision > d.revision {
 			delete(r.departed, k)
 		}
 	}
