--- a/internal/policy/configservice/retention_test.go
+++ b/internal/policy/configservice/retention_test.go
@@ -1,6 +1,8 @@
 package configservice_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +72,40 @@
 		t.Error("something is held for good")
 	}
 }
+
+// TestLapsedInstanceOfAnotherReader guards against a backend server that this daemon has
+// seen leave and that another reader, which noticed an outage of the source, still keeps.
+func TestLapsedInstanceOfAnotherReader(t *testing.T) {
+	s := configservice.NewStore(canonicalcbor.NewCodec())
+	s.OrderByEra()
+	for _, v := range []struct {
+		version lavenderridge.Version
+		entries map[lavenderridge.InstanceID]lavenderridge.Revision
+		want    string
+	}{
+		{20, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1, "b": 2}, "a b"},
+		{24, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1}, "a"},
+		{27, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1, "b": 2, "c": 14}, "a c"},
+		{29, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1, "b": 15, "c": 14}, "a b c"}, // written again
+		{32, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1}, "a"},
+		{34, map[lavenderridge.InstanceID]lavenderridge.Revision{"a": 1, "c": 14}, "a c"}, // the source's word
+	} {
+		l := &lavenderridge.InstanceList{}
+		for _, d := range slices.Sorted(maps.Keys(v.entries)) {
+			l.Instances = append(l.Instances, lavenderridge.Instance{
+				ID: d, DataCentre: "kyu-a", Service: "roster", Peer: "10.0.0.1:7620", State: lavenderridge.InstanceLive,
+				Backend: lavenderridge.BackendID(d), Revision: v.entries[d],
+			})
+		}
+		if r, e := s.OfferInstanceList(configservice.Offer{Version: v.version, Origin: "x", Time: time.Unix(1000, 0)}, l); r != configservice.OfferAccepted {
+			t.Fatalf("version %d: %s, %v", v.version, r, e)
+		}
+		var b []string
+		for _, n := range s.InstanceList().Instances {
+			b = append(b, string(n.ID))
+		}
+		if g := strings.Join(b, " "); g != v.want {
+			t.Errorf("version %d: uses %q; want %q", v.version, g, v.want)
+		}
+	}
+}
