Know a return by the revision from a listing only

A watch may return a revision that is behind while the store's watches hear nothing, which is no return.

--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -64,8 +64,10 @@
 	// unsureUntil is until when the source's word opens no gate, because it has just come
 	// back from an older copy and may lack versions that are in force.
 	unsureUntil time.Time
-	// offered is the catalogue of the source that was offered last.
+	// offered is the catalogue of the source that was offered last since its return.
 	offered *lavenderridge.PublishedCatalogue
+	// listed is true if the latest call was a listing.
+	listed bool
 	// behind is true while the source has an older catalogue than the accepted one.
 	behind bool
 	// asked is true if a neighbour has other content of the accepted catalogue's version,
@@ -220,7 +222,7 @@
 		}
 		return e
 	}
-	f.mirror.CompareList(v)
+	f.mirror.CompareList(v, f.listed)
 	f.publish()
 	t := f.clock.Now()
 	f.contact.SourceResponded(t)
@@ -235,6 +237,7 @@
 // facts before the first watch, and when the changes since the mirror's revision are
 // lost or too large.
 func (f *Follower) readChanges(c context.Context, w time.Duration) error {
+	f.listed = false
 	if f.mirror.AsOf() == 0 {
 		return f.list(c)
 	}
@@ -254,6 +257,7 @@
 // list reads a listing into the mirror. It begins again if the source comes back from an
 // older copy between two pages.
 func (f *Follower) list(c context.Context) error {
+	f.listed = true
 	e := f.listEra(c)
 	if errors.Is(e, errNewEra) {
 		e = f.listEra(c)
@@ -377,8 +381,8 @@
 	f.acceptor.OfferCatalogue(p)
 	if f.mirror.HasReturned() && p != f.offered {
 		f.acceptor.DecideCatalogue(p)
+		f.offered = p
 	}
-	f.offered = p
 	f.checkBehind(p)
 }
 
--- a/internal/policy/configservice/listversion_test.go
+++ b/internal/policy/configservice/listversion_test.go
@@ -21,7 +21,7 @@
 	version := func(e lavenderridge.Era, r lavenderridge.Revision, returned bool) lavenderridge.Version {
 		m := configservice.NewMirror()
 		if returned {
-			m.CompareList(1 << 62)
+			m.CompareList(1<<62, false)
 		}
 		m.BeginEra(e)
 		m.ApplyListing(nil, r, r, time0)
--- a/internal/policy/configservice/mirror.go
+++ b/internal/policy/configservice/mirror.go
@@ -100,9 +100,10 @@
 // CompareList compares the facts with the instance list of the version v, which was
 // accepted before the latest call to the source began. If the list contains an era, or
 // a revision that the source does not have any more, the source has come back from an
-// older copy, and list versions contain the era from now on.
-func (m *Mirror) CompareList(v lavenderridge.Version) {
-	if ListEra(v) > 0 || m.era > 0 && m.asOf < listRevision(v) {
+// older copy, and list versions contain the era from now on. Only a listing, if l is true,
+// shows the latter: a watch may return a revision that is behind.
+func (m *Mirror) CompareList(v lavenderridge.Version, l bool) {
+	if ListEra(v) > 0 || l && m.era > 0 && m.asOf < listRevision(v) {
 		m.hasReturned = true
 	}
 }
--- a/internal/policy/configservice/mirror_test.go
+++ b/internal/policy/configservice/mirror_test.go
@@ -76,7 +76,7 @@
 			case "accepted":
 				var v lavenderridge.Version
 				_, _ = fmt.Sscan(d.CmdArgs[0].Key, &v)
-				m.CompareList(v)
+				m.CompareList(v, !d.HasArg("watched"))
 				var b strings.Builder
 				for e := range lavenderridge.Era(4) {
 					fmt.Fprintf(&b, "a response of era %d is older: %t\n", e, m.IsOlder(e, v))
