--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -93,6 +93,7 @@
 		r.forget(m, isExact(v))
 		r.compare(m, listRevision(v), t)
 	}
+	r.recordLeaving(l, listRevision(v), t)
 	r.list, r.era = l, ListEra(v)
 	r.release(m)
 	return r.build(t)
@@ -161,18 +162,22 @@
 	return o && n.State == lavenderridge.InstanceLive
 }
 
-// compare records the runs that left or began to leave between the accepted list and the
-// next one, with the runs m and the revision v.
+// compare records the runs that left between the accepted list and the next one, with the
+// runs m and the revision v.
 func (r *retention) compare(m map[run]*lavenderridge.Instance, v lavenderridge.Revision, t time.Time) {
 	for i := range r.list.Instances {
-		o := &r.list.Instances[i]
-		k := runOf(o)
-		n := m[k]
-		if n != nil && n.State == lavenderridge.InstanceLive {
-			continue
+		if k := runOf(&r.list.Instances[i]); m[k] == nil {
+			r.departed[k] = departure{at: t, revision: v}
 		}
-		if n == nil || !r.departed[k].leaving {
-			r.departed[k] = departure{at: t, leaving: n != nil, revision: v}
+	}
+}
+
+// recordLeaving records the runs that are leaving by the list l of the revision v.
+func (r *retention) recordLeaving(l *lavenderridge.InstanceList, v lavenderridge.Revision, t time.Time) {
+	for i := range l.Instances {
+		n := &l.Instances[i]
+		if n.State == lavenderridge.InstanceLeaving && !r.departed[runOf(n)].leaving {
+			r.departed[runOf(n)] = departure{at: t, leaving: true, revision: v}
 		}
 	}
 }
