--- a/internal/daemon/configservice/returnsproperty_test.go
+++ b/internal/daemon/configservice/returnsproperty_test.go
@@ -199,7 +199,7 @@
 		if k := string(i.Backend); i.State == lavenderridge.InstanceLive {
 			u[k], s.seen[d][k] = true, true
 			if s.gone[d][k] {
-				s.fail("%s uses %s, which it knows to have left", d.id, k)
+				s.fail("%s uses %s, which it knows to have left by %v, in list %s from %s", d.id, k, s.removals[k], policy.FormatListVersion(v.InstanceList), d.store.Acceptance(lavenderridge.DocumentInstanceList).Origin)
 			}
 		}
 	}
--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -11,8 +11,9 @@
 
 const (
 	// departureMemory is how long it is remembered that an instance left. The source
-	// comes back from a copy that is some seconds old.
-	departureMemory = 30 * time.Second
+	// comes back from a copy that is some seconds old, but a reader that was cut off for
+	// longer may keep lapsed instances that left meanwhile.
+	departureMemory = 5 * time.Minute
 	// departureGrace is how long after the source's return the copy's entries of
 	// instances that left are ignored. The platform removes an entry after three
 	// heartbeat intervals of silence, 4.5 s by default, and the change then spreads.
