--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -37,7 +37,8 @@
 type retention struct {
 	list *lavenderridge.InstanceList // the accepted one
 	used *lavenderridge.InstanceList
-	era  lavenderridge.Era
+	// version is that of the accepted list.
+	version lavenderridge.Version
 
 	departed  map[run]departure
 	kept      map[run]keptInstance
@@ -88,14 +89,14 @@
 	})
 	switch {
 	case r.list == nil:
-	case ListEra(v) > r.era:
+	case ListEra(v) > ListEra(r.version):
 		r.sourceReturned(l, m, t)
 	default:
 		r.forget(m, isExact(v))
 		r.compare(m, listRevision(v), t)
 	}
 	r.recordLeaving(l, listRevision(v), t)
-	r.list, r.era = l, ListEra(v)
+	r.list, r.version = l, v
 	r.release(m)
 	return r.build(t)
 }
@@ -224,9 +225,16 @@
 	return t
 }
 
-// build returns the list to use at the time t, without the holds that have ended.
+// build returns the list to use at the time t, without the holds that have ended. An
+// instance that was kept and not written again in time has left.
 func (r *retention) build(t time.Time) *lavenderridge.InstanceList {
-	maps.DeleteFunc(r.kept, func(_ run, k keptInstance) bool { return !t.Before(k.until) })
+	maps.DeleteFunc(r.kept, func(n run, k keptInstance) bool {
+		if t.Before(k.until) {
+			return false
+		}
+		r.departed[n] = departure{at: t, revision: listRevision(r.version)}
+		return true
+	})
 	maps.DeleteFunc(r.evacuated, func(_ lavenderridge.DataCentreID, u time.Time) bool { return !t.Before(u) })
 	maps.DeleteFunc(r.departed, func(_ run, d departure) bool { return !d.ignoredUntil.IsZero() && !t.Before(d.ignoredUntil) })
 	r.used = r.list
