--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -32,7 +32,8 @@
 }
 
 func callerOptions(d *Daemon) []callerhttp.Option {
-	o := []callerhttp.Option{
+	return []callerhttp.Option{
+		callerhttp.WithProtocol(callerProtocol(d)),
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
 		callerhttp.WithBodies(d.bodies),
@@ -43,10 +44,6 @@
 			return lavenderridge.CallerLimits{}
 		}),
 	}
-	if d.adapter != nil {
-		o = append(o, callerhttp.WithProtocol(d.adapter.Callers()))
-	}
-	return o
 }
 
 // newEntryHandler returns the chain of handlers for callers' requests. Its code
@@ -55,10 +52,37 @@
 	t := d.clock.Now()
 	r, g, p := newRouting(d)
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler, caller.WithNotices(backendProtocol(d).Notice))
-	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, f, d.recorder)
+	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, freshAttempter(d, f), d.recorder)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
-	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, l)
-	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, o)
+	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, freshnessHandler(d, l))
+	u := caller.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.clock, d.recorder, o)
+	metrics.NewRegisteredFunctionalGauge("RequestsUnauthenticated", d.metrics, u.Refused)
+	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u)
+}
+
+// callerProtocol returns the protocol of callers.
+func callerProtocol(d *Daemon) lavenderridge.CallerProtocol {
+	if d.adapter == nil {
+		return callerhttp.Protocol{}
+	}
+	return d.adapter.Callers()
+}
+
+// freshnessHandler returns n, or a handler before it that refuses requests with a key while
+// the catalogue is too old.
+func freshnessHandler(d *Daemon, n caller.SnapshotHandler) caller.SnapshotHandler {
+	if d.configuration.freshness == nil {
+		return n
+	}
+	return caller.NewFreshnessHandler(d.configuration.freshness, n)
+}
+
+// freshAttempter returns n, or an attempter before it that does so for each attempt.
+func freshAttempter(d *Daemon, n caller.Attempter) caller.Attempter {
+	if d.configuration.freshness == nil {
+		return n
+	}
+	return caller.NewFreshAttempter(d.configuration.freshness, n)
 }
 
 // newShedder returns the load shedder for overloaded services, or nil if owners
@@ -82,7 +106,9 @@
 	}
 	b := callerpolicy.NewBalancedRouter(d.config.Instance, d.config.DataCentre, d.clock.Now(), o...)
 	metrics.NewRegisteredFunctionalGauge("LimitsInForce", d.metrics, func() int64 { return int64(b.LimitsInForce()) })
-	return b, b, callerpolicy.NewRetryPolicy(retryOptions(d)...)
+	p := callerpolicy.NewRetryPolicy(retryOptions(d)...)
+	metrics.NewRegisteredFunctionalGauge("FurtherAttemptsStopped", d.metrics, p.StoppedAttempts)
+	return b, b, p
 }
 
 // retryOptions returns the options for the fleet's retry budget, or none if the
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -61,7 +61,7 @@
 	// readUntil is when the daemon stops reading in place of a reader, in nanoseconds
 	// since the Unix epoch.
 	readUntil atomic.Int64
-	// unsureUntil is until when the source's word opens no gate, because it has just come
+	// unsureUntil is until when the source's word opens no gate and proves nothing, because it has just come
 	// back from an older copy and may lack versions that are in force.
 	unsureUntil time.Time
 	// offered is the catalogue of the source that was offered last since its return.
@@ -73,6 +73,14 @@
 	// asked is true if a neighbour has other content of the accepted catalogue's version,
 	// so that the source must decide.
 	asked atomic.Bool
+	// proofs is nil unless WithFollowerProofs is used.
+	proofs *ProofTracker
+}
+
+// WithFollowerProofs makes a follower record in t which versions the source's responses
+// prove to be the latest ones, and read as often as t's plan requires.
+func WithFollowerProofs(t *ProofTracker) func(*Follower) {
+	return func(f *Follower) { f.proofs = t }
 }
 
 // WithSubstitutes makes a follower that is a reader and that the source refuses ask
@@ -171,7 +179,7 @@
 	if h.Before(f.started) {
 		h = f.started
 	}
-	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t)}
+	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t), Revocation: f.proofs.Plan(), CatalogueAge: f.proofs.Age()}
 	v := f.store.Stamps()
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0 && !f.isAsked(v)
 	if l := f.store.InstanceList(); l != nil {
@@ -216,6 +224,7 @@
 func (f *Follower) readSource(c context.Context, w time.Duration) error {
 	b, v := f.gate.Epoch(), f.store.Stamps().InstanceList.Version
 	q := f.asked.Swap(false)
+	u := f.proofs.BeginCall()
 	if e := f.readChanges(c, w); e != nil {
 		if q {
 			f.asked.Store(true)
@@ -225,6 +234,9 @@
 	f.mirror.CompareList(v, f.listed)
 	f.publish()
 	t := f.clock.Now()
+	if p := f.mirror.Catalogue(); p != nil && !t.Before(f.unsureUntil) {
+		f.proofs.SourceResponded(p.Version, u)
+	}
 	f.contact.SourceResponded(t)
 	f.contact.EraResponded(f.mirror.Era())
 	if s := f.store.Snapshot(); s != nil && !t.Before(f.unsureUntil) {
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -42,6 +42,7 @@
 	CounterGate        = "Control.Gate"
 	CounterLeaving     = "Control.Leaving"
 	CounterPullDelta   = "Control.PullDelta"
+	CounterProof       = "Control.Proof"
 	CounterPullWhole   = "Control.PullWhole"
 	CounterReadRequest = "Control.ReadRequest"
 )
@@ -64,11 +65,14 @@
 	onReadRequest func(time.Duration)
 	address       lavenderridge.Address
 	suspects      lavenderridge.SuspectStore
+	sentSuspects  *peer.SentSuspects
 	recorder      lavenderridge.Recorder
 	counters      metrics.Registry
 
-	pullers          []*puller
-	pullLimiter      *peer.PullLimiter
+	pullers     []*puller
+	pullLimiter *peer.PullLimiter
+	// proofs is nil unless WithProofs is used.
+	proofs           *daemonconfig.ProofTracker
 	leavingAnnounced atomic.Bool
 	// startedAlone is true if no neighbour replied at the start.
 	startedAlone atomic.Bool
@@ -83,7 +87,7 @@
 		self: f, store: s, acceptor: a, gate: g, sourceContact: t, neighbourhood: h, dialer: d, clock: k,
 		log: zap.NewNop(), leaving: func() bool { return false }, onReadRequest: func(time.Duration) {}, counters: metrics.NewRegistry(),
 		pullers:     []*puller{newPuller(lavenderridge.DocumentCatalogue), newPuller(lavenderridge.DocumentInstanceList)},
-		pullLimiter: peer.NewPullLimiter(),
+		pullLimiter: peer.NewPullLimiter(), sentSuspects: peer.NewSentSuspects(),
 	}
 	for _, v := range o {
 		v(p)
@@ -130,7 +134,7 @@
 func WithCounters(r metrics.Registry) func(*Gossiper) {
 	return func(s *Gossiper) {
 		s.counters = r
-		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
+		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterProof, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
 			metrics.GetOrRegisterCounter(n, r)
 		}
 	}
@@ -147,6 +151,7 @@
 	}
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.heartbeatLoop(c) })
+	g.Go(func() error { return s.proofLoop(c) })
 	e := g.Wait()
 	s.announceLeaving(context.WithoutCancel(c))
 	return e
@@ -171,7 +176,9 @@
 	if q.ReadFor > 0 {
 		s.onReadRequest(q.ReadFor)
 	}
-	return s.newExchange(), nil
+	p := s.newExchange(q.Sender.Instance)
+	s.sentSuspects.Exchanged(q.Sender.Instance, q.Sender.Incarnation, p.Suspects, s.clock.Now())
+	return p, nil
 }
 
 // Pull implements Exchanger.
@@ -206,12 +213,12 @@
 	return s.store.Stamps().Versions()
 }
 
-// newExchange returns the message that announces this daemon's state.
-func (s *Gossiper) newExchange() *lavenderridge.Exchange {
+// newExchange returns the message that announces this daemon's state to the instance n.
+func (s *Gossiper) newExchange(n lavenderridge.InstanceID) *lavenderridge.Exchange {
 	t := s.clock.Now()
-	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t)}
+	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t), Proof: s.proofs.Proof()}
 	if s.suspects != nil {
-		q.Suspects = s.suspects.Suspects(t)
+		q.Suspects = s.sentSuspects.Unknown(n, s.suspects.Suspects(t), t)
 	}
 	return q
 }
@@ -224,6 +231,8 @@
 	if !s.neighbourhood.MessageReceived(q.Sender, i, q.Leaving, t) {
 		return
 	}
+	s.sentSuspects.Restarted(q.Sender.Instance, q.Sender.Incarnation)
+	s.sentSuspects.Exchanged(q.Sender.Instance, q.Sender.Incarnation, q.Suspects, t)
 	s.sourceContact.PeerReported(q.SourceAge, t)
 	s.acceptor.PeerContacted(q.Sender)
 	if s.suspects != nil && len(q.Suspects) > 0 {
@@ -285,7 +294,7 @@
 // counter n names the cause. The reply opens the gate, except in the first epoch, in
 // which openAtStart does so once it has queried the neighbours.
 func (s *Gossiper) exchangeWith(c context.Context, v *lavenderridge.Instance, n string) (*lavenderridge.Exchange, error) {
-	return s.sendExchange(c, v, n, s.newExchange())
+	return s.sendExchange(c, v, n, s.newExchange(v.ID))
 }
 
 // AskToRead asks the instance n to read the source for the time d.
@@ -294,7 +303,7 @@
 	if v == nil {
 		return fmt.Errorf("peer: ask %s to read: not listed", n)
 	}
-	q := s.newExchange()
+	q := s.newExchange(v.ID)
 	q.ReadFor = d
 	_, e := s.sendExchange(c, v, CounterReadRequest, q)
 	return e
@@ -306,7 +315,7 @@
 	c, f := context.WithTimeout(c, exchangeTimeout)
 	defer f()
 	s.count(n)
-	b := s.gate.Epoch()
+	b, u := s.gate.Epoch(), s.proofs.BeginCall()
 	q, e := s.dialer.Dial(v).Exchange(c, x)
 	if e != nil {
 		if p.Err() == nil {
@@ -314,7 +323,9 @@
 		}
 		return nil, e
 	}
+	s.recordProof(q, u)
 	s.merge(q, false)
+	s.sentSuspects.Exchanged(v.ID, q.Sender.Incarnation, x.Suspects, s.clock.Now())
 	if b > 1 {
 		s.gate.Open(b, q.Sender.Stamps.Versions(), s.clock.Now())
 	}
--- a/internal/transport/operatorhttp/status.go
+++ b/internal/transport/operatorhttp/status.go
@@ -50,6 +50,11 @@
 	// InstanceListEra is the era in the version of the instance list, or zero while no
 	// return of the source is known.
 	InstanceListEra lavenderridge.Era
+	// CatalogueAge is a bound on the time since the active catalogue was the latest one of
+	// the source. Requests with a customer's key are refused from MaxCatalogueAge on, which
+	// is zero if that is not bounded.
+	CatalogueAge    time.Duration `json:",omitempty"`
+	MaxCatalogueAge time.Duration `json:",omitempty"`
 	// StartedAlone is true if no neighbour responded when the daemon started, so
 	// that it started with the versions of the source alone.
 	StartedAlone bool
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -143,6 +143,9 @@
 	if h := q.Header.Get(heardField); h != "" {
 		c = context.WithValue(c, heardKey{}, h)
 	}
+	if h := q.Header.Get(customerField); h != "" {
+		c = context.WithValue(c, customerTextKey{}, h)
+	}
 	if h := q.Header.Get(readField); h != "" {
 		c = context.WithValue(c, readForKey{}, h)
 	}
@@ -159,6 +162,9 @@
 func writeReply(w http.ResponseWriter, f *frame) {
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
+	if f.proof != "" {
+		w.Header().Set(proofField, f.proof)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(f.size()))
 	if len(f.body) > 0 {
 		w.Header().Set(bodyField, strconv.Itoa(len(f.body)))
@@ -184,6 +190,9 @@
 			p.body, w.Body = w.Body, nil
 		}
 	}
+	if x, k := v.(*lavenderridge.Exchange); k {
+		p.proof = encodeProof(x.Proof)
+	}
 	p.message, e = encode(byte(statusReply), v)
 	return p, n, e
 }
@@ -228,7 +237,11 @@
 		w.Body = d
 	}
 	r := w.request(lavenderridge.Sender{Instance: i.Instance, DataCentre: i.DataCentre}, time.Now())
+	var e error
 	r.Heard = heard(c)
+	if r.Customer, e = customer(c); e != nil {
+		return nil, newNotRun(e.Error())
+	}
 	if !r.Deadline.IsZero() {
 		x, f := context.WithDeadline(c, r.Deadline)
 		defer f()
