--- a/internal/policy/configservice/versioneddocument.go
+++ b/internal/policy/configservice/versioneddocument.go
@@ -62,7 +62,7 @@
 	if a != (lavenderridge.Digest{}) && a != p.Digest {
 		return OfferRejected, errDigestMismatch
 	}
-	if c := compareStamps(h.acceptance.Stamp, p); c != OfferAccepted {
+	if c := compareStamps(h.acceptance.Stamp, p); c != OfferAccepted && (c != OfferConflict || !o.Decides) {
 		return c, nil
 	}
 	if e := h.check(v, b); e != nil {
