Send suspects again in a call if they were only in a reply

A daemon counted a suspect as known to a caller once a reply contained it. If the reply was lost, neither its replies nor its own calls contained the suspect for up to 30 s, and the caller's backend server could be crashed by a request that its neighbours knew of.

Records of replies now count for replies only, until a call has delivered them or the other daemon has sent them.

The test fleet now sends suspects too.

--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	daemonconfig "github.com/lavenderridge/lavenderridge/internal/daemon/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/daemon/peer"
+	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	peerpolicy "github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/canonicalcbor"
@@ -98,6 +99,7 @@
 	gate          *configservice.ReadinessGate
 	neighbourhood *peerpolicy.Neighbourhood
 	gossiper      *peer.Gossiper
+	suspects      *backendserver.Suspects
 	stop          context.CancelFunc
 	done          sync.WaitGroup
 	// highestSeen are the versions of the last snapshot that was checked.
@@ -296,7 +298,7 @@
 func (n *node) launch() {
 	n.starts++
 	c, f := context.WithCancel(context.Background())
-	p := &process{node: n, incarnation: lavenderridge.Incarnation(n.starts), stop: f, store: configservice.NewStore(canonicalcbor.NewCodec())}
+	p := &process{node: n, incarnation: lavenderridge.Incarnation(n.starts), stop: f, store: configservice.NewStore(canonicalcbor.NewCodec()), suspects: backendserver.NewSuspects()}
 	t := n.Now()
 	p.gate, p.neighbourhood = configservice.NewReadinessGate(t), peerpolicy.NewNeighbourhood(n.self.ID, n.self.DataCentre)
 	s := configservice.NewSourceContact(t)
@@ -304,7 +306,7 @@
 	if n.fleet.revocation.Enabled() {
 		p.proofs = daemonconfig.NewProofTracker(n.fleet.revocation, p.store, steadyClock{n})
 	}
-	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p), peer.WithProofs(p.proofs))
+	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p), peer.WithProofs(p.proofs), peer.WithSuspects(p.suspects))
 	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithLastPeerMessage(p.neighbourhood.LastMessage), daemonconfig.WithFleetSize(500), daemonconfig.WithReaderProofs(p.proofs))
 	n.fleet.mutex.Lock()
 	p.reachableAtStart, p.faultsAtStart = n.fleet.versionsInReach(n), n.fleet.faults
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -176,8 +176,8 @@
 	if q.ReadFor > 0 {
 		s.onReadRequest(q.ReadFor)
 	}
-	p := s.newExchange(q.Sender.Instance)
-	s.sentSuspects.Exchanged(q.Sender.Instance, q.Sender.Incarnation, p.Suspects, s.clock.Now())
+	p := s.newExchange(q.Sender.Instance, s.sentSuspects.ForReply)
+	s.sentSuspects.Replied(q.Sender.Instance, q.Sender.Incarnation, p.Suspects, s.clock.Now())
 	return p, nil
 }
 
@@ -214,11 +214,12 @@
 }
 
 // newExchange returns the message that announces this daemon's state to the instance n.
-func (s *Gossiper) newExchange(n lavenderridge.InstanceID) *lavenderridge.Exchange {
+// The function f selects the suspects that it contains.
+func (s *Gossiper) newExchange(n lavenderridge.InstanceID, f func(lavenderridge.InstanceID, []lavenderridge.Suspect, time.Time) []lavenderridge.Suspect) *lavenderridge.Exchange {
 	t := s.clock.Now()
 	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t), Proof: s.proofs.Proof()}
 	if s.suspects != nil {
-		q.Suspects = s.sentSuspects.Unknown(n, s.suspects.Suspects(t), t)
+		q.Suspects = f(n, s.suspects.Suspects(t), t)
 	}
 	return q
 }
@@ -294,7 +295,7 @@
 // counter n names the cause. The reply opens the gate, except in the first epoch, in
 // which openAtStart does so once it has queried the neighbours.
 func (s *Gossiper) exchangeWith(c context.Context, v *lavenderridge.Instance, n string) (*lavenderridge.Exchange, error) {
-	return s.sendExchange(c, v, n, s.newExchange(v.ID))
+	return s.sendExchange(c, v, n, s.newExchange(v.ID, s.sentSuspects.ForCall))
 }
 
 // AskToRead asks the instance n to read the source for the time d.
@@ -303,7 +304,7 @@
 	if v == nil {
 		return fmt.Errorf("peer: ask %s to read: not listed", n)
 	}
-	q := s.newExchange(v.ID)
+	q := s.newExchange(v.ID, s.sentSuspects.ForCall)
 	q.ReadFor = d
 	_, e := s.sendExchange(c, v, CounterReadRequest, q)
 	return e
--- a/internal/policy/peer/sentsuspects_test.go
+++ b/internal/policy/peer/sentsuspects_test.go
@@ -34,11 +34,15 @@
 			a := parseSuspects(t, d.Input, c, b)
 			switch d.Cmd {
 			case "send":
-				u := s.Unknown(n, a, c)
+				u := s.ForCall(n, a, c)
 				s.Exchanged(n, lavenderridge.Incarnation(i), u, c)
 				return formatSuspects(u)
+			case "reply":
+				u := s.ForReply(n, a, c)
+				s.Replied(n, lavenderridge.Incarnation(i), u, c)
+				return formatSuspects(u)
 			case "lose":
-				return formatSuspects(s.Unknown(n, a, c))
+				return formatSuspects(s.ForCall(n, a, c))
 			case "receive":
 				s.Restarted(n, lavenderridge.Incarnation(i))
 				s.Exchanged(n, lavenderridge.Incarnation(i), a, c)
