Bound the memory of sent suspects

The records of a daemon were only deleted when suspects were next sent to it: those of daemons that are gone stayed for ever, and so did those of a daemon whose messages are merged by one that has no suspects itself.

--- a/internal/policy/peer/export_test.go
+++ b/internal/policy/peer/export_test.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/lavenderridge/lavenderridge"
+
 // Rules is homeRules, exported for tests outside the package.
 type Rules = homeRules
 
@@ -23,3 +25,13 @@
 func (a *HomeActivation) SetRules(r Rules) {
 	a.rules = r
 }
+
+// Daemons returns the number of daemons of which s keeps records.
+func (s *SentSuspects) Daemons() int {
+	return len(s.known)
+}
+
+// Records returns the number of records that s keeps of the instance n.
+func (s *SentSuspects) Records(n lavenderridge.InstanceID) int {
+	return len(s.known[n].records)
+}
--- a/internal/policy/peer/sentsuspects.go
+++ b/internal/policy/peer/sentsuspects.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 type SentSuspects struct {
 	mutex sync.Mutex
 	known map[lavenderridge.InstanceID]*knownSuspects
+	// swept is when outdated records were last deleted.
+	swept time.Time
 }
 
 // knownSuspects holds the records that one incarnation of a daemon knows.
@@ -94,6 +97,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.sweep(t)
 	k := s.known[n]
 	if k == nil || k.incarnation != i || k.outdated(t) {
 		k = &knownSuspects{incarnation: i, since: t, records: make(map[lavenderridge.Fingerprint]knownSuspect, len(a))}
@@ -104,6 +108,16 @@
 	}
 }
 
+// sweep deletes the records that are outdated at the time t, among them those of daemons
+// that are gone.
+func (s *SentSuspects) sweep(t time.Time) {
+	if t.Sub(s.swept) < suspectResendPeriod {
+		return
+	}
+	maps.DeleteFunc(s.known, func(_ lavenderridge.InstanceID, k *knownSuspects) bool { return k.outdated(t) })
+	s.swept = t
+}
+
 // Restarted forgets what the instance n knew if its incarnation is no longer i.
 func (s *SentSuspects) Restarted(n lavenderridge.InstanceID, i lavenderridge.Incarnation) {
 	s.mutex.Lock()
--- a/internal/policy/peer/sentsuspects_test.go
+++ b/internal/policy/peer/sentsuspects_test.go
@@ -91,3 +91,34 @@
 	}
 	return b.String()
 }
+
+// TestSentSuspectsOfGoneDaemons guards against memory that grows with each daemon that was
+// ever met: instances are replaced all the time, under new names.
+func TestSentSuspectsOfGoneDaemons(t *testing.T) {
+	const perMinute, minutes = 4, 60
+	s := peer.NewSentSuspects()
+	n := time.Unix(0, 0)
+	for i := range perMinute * minutes {
+		n = n.Add(time.Minute / perMinute)
+		s.Exchanged(lavenderridge.InstanceID(fmt.Sprint(i)), 1, []lavenderridge.Suspect{{Fingerprint: 1, Remaining: time.Minute}}, n)
+	}
+	if d := s.Daemons(); d > perMinute {
+		t.Errorf("records of %d daemons are kept; want at most those of the last minute, %d", d, perMinute)
+	}
+}
+
+// TestSentSuspectsOfSilentDaemon guards against records of one daemon that pile up at
+// another one that has no suspects itself, and so never sends any.
+func TestSentSuspectsOfSilentDaemon(t *testing.T) {
+	const perMinute, minutes = 4, 60
+	s := peer.NewSentSuspects()
+	n := time.Unix(0, 0)
+	for i := range perMinute * minutes {
+		n = n.Add(time.Minute / perMinute)
+		s.Exchanged("n-1", 1, []lavenderridge.Suspect{{Fingerprint: lavenderridge.Fingerprint(i), Remaining: time.Minute}}, n)
+		s.ForCall("n-1", nil, n)
+	}
+	if d := s.Records("n-1"); d > perMinute {
+		t.Errorf("%d records are kept; want at most those of the last minute, %d", d, perMinute)
+	}
+}
