Count the time of a standing queue from its first waiting request

The time counted from the last request that found a free slot. One that came 250 ms after it and was the first to wait already found its wait bounded tightly, and lavenderridge_queue_standing was 1 while a single long request ran beside free slots. Nothing tested the mechanism in the owner's handler.

The queue now remembers since when requests have found no free slot, and the metric is 1 only while requests wait.

--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -94,10 +94,10 @@
 	return d
 }
 
-// QueueStanding reports whether requests have had to wait for a slot for so long that
+// QueueStanding reports whether requests wait for a slot, and have had to for so long that
 // their waits are bounded more tightly.
 func (h *OwnerHandler) QueueStanding() bool {
-	return h.listed != nil && h.listed.waits.Standing(h.clock.Now()) && h.admission.InFlight() > 0
+	return h.listed != nil && h.listed.waits.Standing(h.clock.Now()) && h.admission.Load(nil).Queued > 0
 }
 
 // objectiveOf returns the latency objective of the entry of r, or zero.
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -186,10 +186,13 @@
 func (h *OwnerHandler) enter(v *lavenderridge.Service, r *lavenderridge.Request, t time.Time) (*backendserver.Waiter, error) {
 	if h.admission.TryEnter(v) {
 		if h.listed != nil {
-			h.listed.waits.SlotFree(t)
+			h.listed.waits.SlotFree()
 		}
 		return nil, nil
 	}
+	if h.listed != nil {
+		h.listed.waits.NoSlotFree(t)
+	}
 	return h.admission.EnterArrival(v, h.arrival(r, t), t)
 }
 
--- a/internal/policy/backendserver/standingqueue.go
+++ b/internal/policy/backendserver/standingqueue.go
@@ -14,21 +14,37 @@
 // one. It is safe for concurrent use.
 type StandingQueue struct {
 	base time.Time
-	// drained is when a request last found a free slot, in nanoseconds after base.
-	drained atomic.Int64
+	// fullSince is when the first request since the last one with a free slot found none,
+	// in nanoseconds after base, or notFull.
+	fullSince atomic.Int64
 }
 
+// notFull is the value of fullSince while requests find free slots.
+const notFull = -1
+
 // NewStandingQueue returns a queue that was empty at the time t.
 func NewStandingQueue(t time.Time) *StandingQueue {
-	return &StandingQueue{base: t}
+	q := &StandingQueue{base: t}
+	q.fullSince.Store(notFull)
+	return q
+}
+
+// SlotFree records that a request found a free slot.
+func (q *StandingQueue) SlotFree() {
+	if q.fullSince.Load() != notFull {
+		q.fullSince.Store(notFull)
+	}
 }
 
-// SlotFree records that a request found a free slot at the time t.
-func (q *StandingQueue) SlotFree(t time.Time) {
-	q.drained.Store(int64(t.Sub(q.base)))
+// NoSlotFree records that a request found no free slot at the time t.
+func (q *StandingQueue) NoSlotFree(t time.Time) {
+	if q.fullSince.Load() == notFull {
+		q.fullSince.CompareAndSwap(notFull, max(0, int64(t.Sub(q.base))))
+	}
 }
 
 // Standing reports whether the queue has not drained recently at the time t.
 func (q *StandingQueue) Standing(t time.Time) bool {
-	return t.Sub(q.base)-time.Duration(q.drained.Load()) >= standingInterval
+	n := q.fullSince.Load()
+	return n != notFull && t.Sub(q.base)-time.Duration(n) >= standingInterval
 }
--- a/internal/policy/backendserver/waitbound.go
+++ b/internal/policy/backendserver/waitbound.go
@@ -33,9 +33,14 @@
 	b.slow.Observe(e, d)
 }
 
-// SlotFree records that a request found a free slot at the time t.
-func (b *WaitBound) SlotFree(t time.Time) {
-	b.queue.SlotFree(t)
+// SlotFree records that a request found a free slot.
+func (b *WaitBound) SlotFree() {
+	b.queue.SlotFree()
+}
+
+// NoSlotFree records that a request found no free slot at the time t.
+func (b *WaitBound) NoSlotFree(t time.Time) {
+	b.queue.NoSlotFree(t)
 }
 
 // Standing reports whether the queue is standing at the time t.
--- a/internal/policy/backendserver/waitbound_test.go
+++ b/internal/policy/backendserver/waitbound_test.go
@@ -110,11 +110,13 @@
 		p, e := a.EnterArrival(v, backendserver.Arrival{Class: lavenderridge.ClassNormal, Deadline: u.Add(l.Latency()), Objective: o}, n)
 		switch {
 		case e != nil:
+			w.NoSlotFree(n)
 			r.refused++
 		case p == nil:
-			w.SlotFree(n)
+			w.SlotFree()
 			start(q)
 		default:
+			w.NoSlotFree(n)
 			q.waiter = p
 			waiting = append(waiting, q)
 		}
