Keep the yield of further attempts without a lock

Refused and rerouted requests took a mutex for each service, on the path of requests and just when there are most of them.

The yield and its time are packed into one atomic word; the time in milliseconds, the yield in 24 bits. Every result counts, by compare and swap. TestConcurrentFurtherAttempts passes with the race detector; it passed with the mutex as well, and guards the replacement.

Not measured: the time that requests spent at the mutex.

--- a/internal/policy/caller/rerouteyield.go
+++ b/internal/policy/caller/rerouteyield.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,48 +20,69 @@
 )
 
 // A rerouteYield measures how many of the attempts that follow a refusal for overload
-// find another instance with room, and stops them while hardly any does.
+// find another instance with room, and stops them while hardly any does. It is safe for
+// concurrent use.
 type rerouteYield struct {
-	mutex  sync.Mutex
-	yield  float64
-	time   time.Time
-	denied int
+	base   time.Time
+	state  atomic.Uint64 // of yieldState
+	denied atomic.Uint64
 }
 
 func newRerouteYield(t time.Time) *rerouteYield {
-	return &rerouteYield{yield: 1, time: t}
+	y := &rerouteYield{base: t}
+	y.state.Store(uint64(newYieldState(1, 0)))
+	return y
 }
 
 // record adds the result of a further attempt, which found room if o is set.
 func (y *rerouteYield) record(o bool, t time.Time) {
-	y.mutex.Lock()
-	defer y.mutex.Unlock()
-	y.recover(t)
 	v := 0.0
 	if o {
 		v = 1
 	}
-	y.yield += (v - y.yield) / yieldSamples
+	for {
+		b := y.state.Load()
+		s := yieldState(b)
+		d := max(s.time(), t.Sub(y.base))
+		n := s.recovered(d)
+		n += (v - n) / yieldSamples
+		if y.state.CompareAndSwap(b, uint64(newYieldState(n, d))) {
+			return
+		}
+	}
 }
 
 // allow reports whether a request may make a further attempt at the time t.
 func (y *rerouteYield) allow(t time.Time) bool {
-	y.mutex.Lock()
-	defer y.mutex.Unlock()
-	y.recover(t)
-	if y.yield >= minRerouteYield {
+	if yieldState(y.state.Load()).recovered(t.Sub(y.base)) >= minRerouteYield {
 		return true
 	}
-	y.denied++
-	return y.denied%yieldProbes == 0
+	return y.denied.Add(1)%yieldProbes == 0
 }
 
-// recover moves the yield towards one by the time since the last call.
-func (y *rerouteYield) recover(t time.Time) {
-	d := t.Sub(y.time)
-	if d <= 0 {
-		return
-	}
-	y.yield = 1 - (1-y.yield)*math.Exp(-float64(d)/float64(yieldRecovery))
-	y.time = t
+// A yieldState is a yield, with yieldBits of precision, and the time after the base to
+// which it applies, in milliseconds in the bits above.
+type yieldState uint64
+
+const (
+	yieldBits = 24
+	yieldOne  = 1<<yieldBits - 1
+)
+
+func newYieldState(n float64, d time.Duration) yieldState {
+	return yieldState(d.Milliseconds())<<yieldBits | yieldState(math.Round(n*yieldOne))
+}
+
+func (s yieldState) yield() float64 {
+	return float64(s&yieldOne) / yieldOne
+}
+
+func (s yieldState) time() time.Duration {
+	return time.Duration(s>>yieldBits) * time.Millisecond
+}
+
+// recovered returns the yield at the time d, moved towards one by the time that has passed.
+func (s yieldState) recovered(d time.Duration) float64 {
+	p := max(0, (d - s.time()).Truncate(time.Millisecond))
+	return 1 - (1-s.yield())*math.Exp(-float64(p)/float64(yieldRecovery))
 }
--- a/internal/policy/caller/rerouteyield_test.go
+++ b/internal/policy/caller/rerouteyield_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,3 +67,25 @@
 		}
 	}
 }
+
+// TestConcurrentFurtherAttempts guards against results of attempts that get lost when
+// requests end at the same time, so that attempts go on although none finds room. Run it
+// with the race detector.
+func TestConcurrentFurtherAttempts(t *testing.T) {
+	const callers, requests = 8, 100
+	p := caller.NewRetryPolicy(caller.WithFreeRerouting(), caller.WithJitter(func() float64 { return 0 }))
+	var g sync.WaitGroup
+	var m atomic.Int64
+	for range callers {
+		g.Go(func() {
+			for range requests {
+				a, _ := requestAttempts(p, 0, time.Unix(0, 0))
+				m.Add(int64(a))
+			}
+		})
+	}
+	g.Wait()
+	if n := m.Load(); n > 2*callers*requests {
+		t.Errorf("%d attempts of %d requests; want at most two each", n, callers*requests)
+	}
+}
