Count also the last further attempt that found no room

Cause: the refusal of a further attempt was counted only if the request could have gone on, so that the last one of each request was left out and the yield read too high (found in the review).

Change: it is counted before the other bounds are looked at.

--- a/internal/policy/caller/retrypolicy.go
+++ b/internal/policy/caller/retrypolicy.go
@@ -91,6 +91,7 @@
 // entry e, where f is the refusal of the last of the attempts a. It returns
 // false if there must be no further attempt.
 func (p *RetryPolicy) Next(e *lavenderridge.Entry, r *lavenderridge.Request, a *Attempts, f *lavenderridge.Refusal, t time.Time) (time.Duration, bool) {
+	p.recordYield(r.Service, a, f, t)
 	if f.Retried || !p.allows(e, r, a, f) || !repeatable(r, f) {
 		return 0, false
 	}
@@ -99,7 +100,7 @@
 		return 0, false
 	}
 	if !mayHaveReached(f) && p.freeRerouting {
-		return d, p.mayReroute(r.Service, a, f, t)
+		return d, p.mayReroute(r.Service, f, t)
 	}
 	return d, p.budget(r.Service, t).Take(t)
 }
@@ -112,21 +113,22 @@
 	}
 }
 
-// mayReroute records the refusal f of the last of the attempts a, and reports whether
-// another instance may be tried at the time t.
-func (p *RetryPolicy) mayReroute(d lavenderridge.ServiceID, a *Attempts, f *lavenderridge.Refusal, t time.Time) bool {
-	if f.Reason != lavenderridge.ReasonOverloaded {
-		return true
-	}
-	y := p.yieldOf(d, t)
-	if a.Count() > 1 {
-		y.record(false, t)
+// recordYield records the refusal f of the last of the attempts a, if that was a further
+// attempt for which there was no room.
+func (p *RetryPolicy) recordYield(d lavenderridge.ServiceID, a *Attempts, f *lavenderridge.Refusal, t time.Time) {
+	if p.freeRerouting && a.Count() > 1 && f.Reason == lavenderridge.ReasonOverloaded && !mayHaveReached(f) {
+		p.yieldOf(d, t).record(false, t)
 	}
-	o := y.allow(t)
-	if !o {
-		p.stoppedAttempts.Add(1)
+}
+
+// mayReroute reports whether another instance may be tried at the time t after the refusal
+// f.
+func (p *RetryPolicy) mayReroute(d lavenderridge.ServiceID, f *lavenderridge.Refusal, t time.Time) bool {
+	if f.Reason != lavenderridge.ReasonOverloaded || p.yieldOf(d, t).allow(t) {
+		return true
 	}
-	return o
+	p.stoppedAttempts.Add(1)
+	return false
 }
 
 // StoppedAttempts returns the number of further attempts that were not made because
