Tell callers that have been refused before to come back later

Change: ReturnTimes. Who has less time left than is usual for the entry has been refused before, and is told to wait for up to a third of that time. Deployments whose callers come back once are served as before.

--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -58,7 +58,7 @@
 	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, freshnessHandler(d, q))
 	u := caller.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.clock, d.recorder, o)
 	metrics.NewRegisteredFunctionalGauge("RequestsUnauthenticated", d.metrics, u.Refused)
-	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u)
+	return caller.NewReturnHandler(d.clock, caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u))
 }
 
 // callerProtocol returns the protocol of callers.
