--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderridge/lavenderridge/internal/daemon/assembly"
 	"github.com/lavenderridge/lavenderridge/internal/policy/configservice"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
+	"github.com/lavenderridge/lavenderridge/internal/policy/peer"
 	"github.com/lavenderridge/lavenderridge/internal/transport/peertls"
 )
 
@@ -61,6 +62,9 @@
 	maxHeaderFields     = 1 << 16
 	maxRatio            = 1.0 // retries per request
 	maxExtraRetries     = 100_000
+	minQuotaWindow      = time.Second
+	maxQuotaWindow      = time.Minute
+	maxQuotaSlack       = 100_000 // requests
 	maxRevokeWithin     = time.Hour
 )
 
@@ -223,6 +227,16 @@
 	d.ColdSlack = r.number("Backend.ColdSlack", defaultColdSlack, maxColdSlack)
 	d.RetryRatio = lavenderridge.Ratio(r.number("Retries.Ratio", 0, maxRatio))
 	d.RetryExtra = r.integer("Retries.Extra", 0, 0, maxExtraRetries)
+	s.readQuota(r)
+}
+
+// readQuota reads by how much the customers may exceed their quotas.
+func (s *Settings) readQuota(r *reader) {
+	s.Daemon.Quota = peer.QuotaBounds{
+		Window:  r.duration("Customers.QuotaWindow", peer.DefaultQuotaWindow, minQuotaWindow, maxQuotaWindow),
+		Overage: lavenderridge.Ratio(r.number("Customers.QuotaOverage", peer.DefaultQuotaOverage, maxRatio)),
+		Slack:   lavenderridge.Requests(r.integer("Customers.QuotaSlack", int(peer.DefaultQuotaSlack), 0, maxQuotaSlack)),
+	}
 }
 
 // readCustomers reads the settings that concern customers and their keys.
--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -60,10 +60,11 @@
 	f := caller.NewForwardHandler(r, g, d.home.router, d.clock, d.peers(), d.sender, d.home.handler, caller.WithNotices(backendProtocol(d).Notice))
 	a := caller.NewRetryHandler(p, d.configuration.store, d.clock, freshAttempter(d, f), d.recorder)
 	l := caller.NewLimitHandler(callerpolicy.NewEntryLimiter(t, 0), newShedder(d, t), d.clock, a)
-	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, freshnessHandler(d, l))
+	q := caller.NewQuotaHandler(d.quota.borrower, d.clock, l)
+	o := caller.NewObserveHandler(d.observer, d.clock, d.config.DataCentre, freshnessHandler(d, q))
 	u := caller.NewCustomerHandler(callerProtocol(d).CustomerFields(), d.clock, d.recorder, o)
 	metrics.NewRegisteredFunctionalGauge("RequestsUnauthenticated", d.metrics, u.Refused)
-	return caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u)
+	return caller.NewReturnHandler(d.clock, caller.NewEntryHandler(d.configuration, d.configuration.store, d.clock, d.config.Instance, u))
 }
 
 // callerProtocol returns the protocol of callers.
