--- a/internal/daemon/assembly/callerpart.go
+++ b/internal/daemon/assembly/callerpart.go
@@ -32,11 +32,13 @@
 }
 
 func callerOptions(d *Daemon) []callerhttp.Option {
-	return []callerhttp.Option{
+	o := []callerhttp.Option{
 		callerhttp.WithProtocol(callerProtocol(d)),
 		callerhttp.WithCaller(func() lavenderridge.ServiceID { return *d.service.Load() }),
 		callerhttp.WithStopDelay(d.config.StopDelay),
 		callerhttp.WithBodies(d.bodies),
+		callerhttp.WithClients(d.doors.callers),
+		callerhttp.WithMaxFields(d.config.HeaderFields),
 		callerhttp.WithLimits(func() lavenderridge.CallerLimits {
 			if s := d.configuration.store.Snapshot(); s != nil {
 				return s.Catalogue.Callers
@@ -44,6 +46,10 @@
 			return lavenderridge.CallerLimits{}
 		}),
 	}
+	if d.config.SendPause > 0 {
+		o = append(o, callerhttp.WithSendPause(d.config.SendPause))
+	}
+	return o
 }
 
 // newEntryHandler returns the chain of handlers for callers' requests. Its code
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -191,7 +191,7 @@
 			return nil, errors.Join(errResponseMemory, e)
 		}
 	}
-	f, e := receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage)
+	f, e := receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage, unbounded)
 	if e == nil && k == kindExchange {
 		f.proof = p.Header.Get(proofField)
 	}
@@ -311,3 +311,8 @@
 	}
 	return r
 }
+
+// unbounded allows any buffer.
+func unbounded(lavenderridge.ByteCount) error {
+	return nil
+}
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -32,16 +32,17 @@
 	stopper   *plainhttp.Stopper
 	activity  activity
 	// onSent is called with the size of each response body that has been written.
-	onSent func(lavenderridge.ByteCount)
+	onSent  func(lavenderridge.ByteCount)
+	clients *operator.ClientTable
 }
 
 // NewServer returns a server that passes the calls received by t to the peer p.
 // After each call, when the reply has been written or its write has failed, it
 // calls f with the size of the response body, which is 0 if there is no response.
 func NewServer(t *Transport, p lavenderridge.Peer, f func(lavenderridge.ByteCount)) *Server {
-	s := &Server{transport: t, peer: p, onSent: f}
+	s := &Server{transport: t, peer: p, onSent: f, clients: t.clients}
 	s.http = kratoshttp.NewServer(
-		kratoshttp.Listener(t.listener),
+		kratoshttp.Listener(plainhttp.NewListener(t.listener, s.clients, nil, 0)),
 		kratoshttp.Address(string(t.Address())),
 		kratoshttp.Timeout(0),
 		kratoshttp.TLSConfig(s.tlsConfig()),
@@ -52,7 +53,11 @@
 		MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTimeout, PingTimeout: dialTimeout, WriteByteTimeout: writeTimeout,
 	}
 	s.http.ReadHeaderTimeout = dialTimeout
-	s.http.ConnContext = func(c context.Context, _ net.Conn) context.Context {
+	s.http.MaxHeaderBytes = maxCallHeader
+	s.http.Protocols = &http.Protocols{}
+	s.http.Protocols.SetHTTP2(true)
+	s.http.ConnContext = func(c context.Context, n net.Conn) context.Context {
+		c = context.WithValue(c, clientKey{}, clientOf(n))
 		return context.WithValue(c, verifiedPeerKey{}, &peertls.VerifiedPeer{})
 	}
 	s.http.ErrorLog = log.New(countingWriter{lines: t.counters.serverErrors}, "", 0)
@@ -110,9 +115,75 @@
 	return v
 }
 
-// serveHTTP handles one call. A call that did not arrive completely gets no reply:
-// its stream is reset.
+// clientKey is the context key of the operator.Client of a connection.
+type clientKey struct{}
+
+// clientOf returns the client of the encrypted connection n.
+func clientOf(n net.Conn) *operator.Client {
+	t, o := n.(*tls.Conn)
+	if !o {
+		return nil
+	}
+	v, _ := t.NetConn().(*plainhttp.Conn)
+	return v.Client()
+}
+
+// serveHTTP handles one call if there is memory for it. A call of a daemon that holds
+// more than it may is refused.
 func (s *Server) serveHTTP(w http.ResponseWriter, q *http.Request) {
+	k, _ := q.Context().Value(clientKey{}).(*operator.Client)
+	if !k.Hold(callMemory, time.Now()) {
+		refuseCall(w, k)
+		return
+	}
+	defer k.Release(callMemory)
+	s.serveCall(w, q, k)
+	// The library writes a small reply after its handler has returned. The further frame
+	// that Flush costs is spared while the client is known to take its replies.
+	if k.Answered() && http.NewResponseController(w).Flush() == nil {
+		k.Taken(time.Now())
+	}
+}
+
+// refuseCall refuses a call of the client k for which there is no memory. If k doesn't
+// take its refusals, the stream is reset.
+func refuseCall(w http.ResponseWriter, k *operator.Client) {
+	if k.Answered() {
+		panic(http.ErrAbortHandler)
+	}
+	writeReply(w, encodeRefusal(newOverloaded()))
+}
+
+// newOverloaded returns the refusal of a call for which there is no memory.
+func newOverloaded() *lavenderridge.Refusal {
+	r := lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonOverloaded, "the calls of daemons need too much memory")
+	r.RetryAfter = memoryRetryAfter
+	return r
+}
+
+// receiveCall reads the call q of the client k, with a body of b bytes. It returns what
+// the call holds, also with an error.
+func (s *Server) receiveCall(q *http.Request, b int64, k *operator.Client) (*frame, lavenderridge.ByteCount, error) {
+	var n lavenderridge.ByteCount
+	h := func(v lavenderridge.ByteCount) error {
+		if !k.Hold(v, time.Now()) {
+			return errCallMemory
+		}
+		n += v
+		return nil
+	}
+	k.ReceiveBody(lavenderridge.ByteCount(b))
+	defer k.EndBody(lavenderridge.ByteCount(b))
+	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage, h)
+	if e == nil && lavenderridge.ByteCount(len(f.message)) > smallMessage {
+		e = h(decodedMemory(f.message[1:]))
+	}
+	return f, n, e
+}
+
+// serveCall handles one call of the client k. A call that did not arrive completely gets
+// no reply: its stream is reset.
+func (s *Server) serveCall(w http.ResponseWriter, q *http.Request, k *operator.Client) {
 	i, e := verifiedPeer(q.Context()).Verify(s.transport.keys, *q.TLS, time.Now())
 	if e != nil {
 		w.WriteHeader(http.StatusForbidden)
@@ -126,16 +197,23 @@
 	if o {
 		a := s.transport.bodies.NewAccount()
 		defer a.Close()
-		if e := reserveRequest(c, a, b); e != nil {
+		if e := reserveRequest(c, a, b, k); e != nil {
 			writeReply(w, encodeRefusal(e))
 			return
 		}
 		c = operator.WithBodyAccount(c, a)
 	}
-	f, e := receiveFrame(q.Body, q.ContentLength, b, s.transport.maxMessage)
+	f, n, e := s.receiveCall(q, b, k)
+	defer k.Release(n)
+	if errors.Is(e, errCallMemory) {
+		refuseCall(w, k)
+		return
+	}
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
+	k.Begin()
+	defer k.End()
 	// A call counts as activity only when its body is complete. On a half-open
 	// connection that never happens, and the call must not delay the shutdown.
 	s.activity.begin()
@@ -149,11 +227,13 @@
 	if h := q.Header.Get(readField); h != "" {
 		c = context.WithValue(c, readForKey{}, h)
 	}
-	p, n, e := s.handleMessage(c, f, o, i)
-	defer func() { s.onSent(n) }()
+	p, v, e := s.handleMessage(c, f, o, i)
+	defer func() { s.onSent(v) }()
 	if e != nil {
 		panic(http.ErrAbortHandler)
 	}
+	k.Deliver(time.Now())
+	defer k.Delivered()
 	writeReply(w, p)
 }
 
