Take a replaced run back at once without a return of the source

Two entries may name one address, for example one of another writer. When the one that took precedence could not be used any more, the other's run was listed again, but with an entry older than its departure. While the list contained lapsed instances (for up to 2.2 s after an outage), the retention hid it, in deployments without eras too; before the retention it was used at once.

A departure now records that the run was replaced at its address, and such a run counts as listed in any list of the same era. After a return nothing changes.

The comment of EraResponded described a check that its caller makes.

--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -30,7 +30,7 @@
 //     is written in the new era.
 //
 // Within an era, an instance that left isn't taken back from a list that contains lapsed
-// instances, unless its entry was written later.
+// instances, unless its entry was written later or another one at its address had hidden it.
 //
 // Each daemon decides by what it has seen itself, so that the documents that daemons
 // exchange contain nothing but facts of the source. It is not safe for concurrent use.
@@ -55,6 +55,9 @@
 type departure struct {
 	at      time.Time
 	leaving bool // its entry said so and was still listed
+	// replaced is true if another run was listed at its address. Its own entry may
+	// still be there, unchanged, and is listed again if the other one isn't any more.
+	replaced bool
 	// revision is that of the source when the departure was seen, and entry that of
 	// the run's entry in the first list of the present era, or zero.
 	revision, entry lavenderridge.Revision
@@ -141,14 +144,15 @@
 
 // forget drops departures that a later word of the source contradicts: an entry among m
 // that was written after the departure, or any one in an exact list of the same era. Other
-// lists contain lapsed instances of their reader. The flag x tells that the list is exact.
+// lists contain lapsed instances of their reader, and of replaced runs entries that were there
+// all the while. The flag x tells that the list is exact.
 func (r *retention) forget(m map[run]*lavenderridge.Instance, x bool) {
 	for k, d := range r.departed {
 		n := m[k]
 		if n == nil || n.State != lavenderridge.InstanceLive {
 			continue
 		}
-		o := x // the source's later word
+		o := x || d.replaced // the source's later word
 		if !d.ignoredUntil.IsZero() {
 			o = n.Revision != d.entry
 		}
@@ -167,9 +171,13 @@
 // compare records the runs that left between the accepted list and the next one, with the
 // runs m and the revision v.
 func (r *retention) compare(m map[run]*lavenderridge.Instance, v lavenderridge.Revision, t time.Time) {
+	a := make(map[lavenderridge.InstanceID]bool, len(m))
+	for k := range m {
+		a[k.instance] = true
+	}
 	for i := range r.list.Instances {
 		if k := runOf(&r.list.Instances[i]); m[k] == nil {
-			r.departed[k] = departure{at: t, revision: v}
+			r.departed[k] = departure{at: t, revision: v, replaced: a[k.instance]}
 		}
 	}
 }
--- a/internal/policy/configservice/sourcecontact.go
+++ b/internal/policy/configservice/sourcecontact.go
@@ -32,8 +32,8 @@
 	storeMax(&s.any, int64(t.Sub(s.base)))
 }
 
-// EraResponded records the era e of a response to this daemon. Responses of a lower era
-// are not recorded.
+// EraResponded records the era e of a response to this daemon, which is never lower than
+// the one before, because such responses are dropped.
 func (s *SourceContact) EraResponded(e lavenderridge.Era) {
 	s.era.Store(uint64(e))
 }
