--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -101,6 +101,9 @@
 	r.recordLeaving(l, listRevision(v), t)
 	r.list, r.version = l, v
 	r.release(m)
+	for _, d := range l.Evacuated {
+		delete(r.evacuated, d)
+	}
 	return r.build(t)
 }
 
--- a/internal/policy/configservice/retention_test.go
+++ b/internal/policy/configservice/retention_test.go
@@ -109,3 +109,28 @@
 		}
 	}
 }
+
+// TestEvacuationTakenBackAfterReturn guards against a data centre that stays without work
+// after the operators have evacuated it again, and taken it back, in the new era.
+func TestEvacuationTakenBackAfterReturn(t *testing.T) {
+	s := configservice.NewStore(canonicalcbor.NewCodec())
+	s.OrderByEra()
+	const era = 2 << 44
+	for _, v := range []struct {
+		version    lavenderridge.Version
+		list, want []lavenderridge.DataCentreID
+	}{
+		{20, []lavenderridge.DataCentreID{"kyu-a"}, []lavenderridge.DataCentreID{"kyu-a"}},
+		{era + 10, nil, []lavenderridge.DataCentreID{"kyu-a"}},
+		{era + 12, []lavenderridge.DataCentreID{"kyu-a"}, []lavenderridge.DataCentreID{"kyu-a"}},
+		{era + 14, nil, nil},
+	} {
+		l := &lavenderridge.InstanceList{Evacuated: v.list}
+		if r, e := s.OfferInstanceList(configservice.Offer{Version: v.version, Origin: "x", Time: time.Unix(1000, 0)}, l); r != configservice.OfferAccepted {
+			t.Fatalf("version %d: %s, %v", v.version, r, e)
+		}
+		if g := s.InstanceList().Evacuated; !slices.Equal(g, v.want) {
+			t.Errorf("version %d: evacuated %q; want %q", v.version, g, v.want)
+		}
+	}
+}
