Hold a lost evacuation for longer after the source's return

Cause: an evacuation that the source has lost held for 2.2 s, the time in which backend servers write again. Nothing says that operators are as fast, and work would have gone to an evacuated data centre meanwhile (found in the review).

Change: it holds for 5.5 s, as departures do, and until it is written again.

--- a/internal/policy/configservice/retention.go
+++ b/internal/policy/configservice/retention.go
@@ -18,14 +18,17 @@
 	// instances that left are ignored. The platform removes an entry after three
 	// heartbeat intervals of silence, 4.5 s by default, and the change then spreads.
 	departureGrace = 5500 * time.Millisecond
+	// evacuationGrace is how long after the source's return an evacuation that the copy
+	// lacks is kept. Nothing says how soon operators write it again.
+	evacuationGrace = departureGrace
 )
 
 // A retention turns the accepted instance lists into the one that a daemon uses. Both are
 // the same until the source comes back from an older copy, which makes the era of the
 // list rise. What this daemon has seen in the era before then holds for a while:
 //
-//   - Instances and evacuations that the copy lacks are kept for lapseGrace, until
-//     they are written again.
+//   - Instances that the copy lacks are kept for lapseGrace, and evacuations for
+//     evacuationGrace, until they are written again.
 //   - Instances that left or were replaced stay so for departureGrace, unless an entry
 //     is written in the new era.
 //
@@ -133,7 +136,7 @@
 	}
 	for _, d := range r.used.Evacuated {
 		if !slices.Contains(l.Evacuated, d) {
-			r.evacuated[d] = t.Add(lapseGrace)
+			r.evacuated[d] = t.Add(evacuationGrace)
 		}
 	}
 	for k, d := range r.departed {
