--- a/internal/policy/backendserver/entryquantiles.go
+++ b/internal/policy/backendserver/entryquantiles.go
@@ -1,11 +1,6 @@
 package backendserver
 
-import (
-	"sync"
-	"sync/atomic"
-
-	"github.com/lavenderridge/lavenderridge"
-)
+import "github.com/lavenderridge/lavenderridge"
 
 const (
 	// quantileStep is the relative change of an estimate after a sample above it.
@@ -18,16 +13,12 @@
 // duration of its requests. Each sample moves the estimate by a small step, so that no
 // samples are kept. Concurrent samples may be lost.
 type EntryQuantiles[T ~int64] struct {
-	entries sync.Map // of lavenderridge.EntryID to *atomic.Int64
+	entryValues[T]
 }
 
 // Observe moves the estimate of the entry e towards the value v.
 func (b *EntryQuantiles[T]) Observe(e lavenderridge.EntryID, v T) {
-	p, o := b.entries.Load(e)
-	if !o {
-		p, _ = b.entries.LoadOrStore(e, &atomic.Int64{})
-	}
-	n := p.(*atomic.Int64)
+	n := b.of(e)
 	k := n.Load()
 	switch {
 	case k == 0:
@@ -38,11 +29,3 @@
 		n.CompareAndSwap(k, k-int64(float64(k)*quantileStep*(1-quantileShare)/quantileShare))
 	}
 }
-
-// Value returns the estimate for the entry e, or zero before its first request.
-func (b *EntryQuantiles[T]) Value(e lavenderridge.EntryID) T {
-	if p, o := b.entries.Load(e); o {
-		return T(p.(*atomic.Int64).Load())
-	}
-	return 0
-}
