Create the bound of waits after all options of the owner are known

Cause: WithListedCapacity read the handler's clock, so that the bound began at another clock's time if WithClock came after it.

Change: NewOwnerHandler creates it beside the limiter of cold starts. In the daemon the clock comes first, so its behaviour is the same.

--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -59,7 +59,7 @@
 // which responses are sent, has the rate r.
 func WithListedCapacity(f, s float64, r lavenderridge.BitRate) OwnerOption {
 	return func(h *OwnerHandler) {
-		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64), uplink: backendserver.NewUplink(r), waits: backendserver.NewWaitBound(h.clock.Now())}
+		h.listed = &listedCapacity{factor: f, slack: s, throttle: backendserver.NewFailureThrottle(rand.Float64), uplink: backendserver.NewUplink(r)}
 		h.limiterOptions = append(h.limiterOptions, backendserver.WithFixedLimit())
 	}
 }
--- a/internal/daemon/backendserver/ownerhandler.go
+++ b/internal/daemon/backendserver/ownerhandler.go
@@ -98,6 +98,7 @@
 	h.announced = backendserver.NewAnnouncements(h.clock.Now())
 	if h.listed != nil {
 		h.cold = backendserver.NewColdStartLimiter(h.clock.Now())
+		h.listed.waits = backendserver.NewWaitBound(h.clock.Now())
 		h.markUnconfirmed()
 	}
 	return h
