--- a/review/fleet2/main_test.go
+++ b/review/fleet2/main_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"slices"
@@ -242,8 +243,8 @@
 
 // The settings of the machines change at different times after the start of their daemons.
 const (
-	firstChange = 3 * time.Millisecond
-	changeStep  = 700 * time.Microsecond
+	firstChange  = 1500 * time.Microsecond
+	changeFactor = 1.15
 )
 
 // playSettings replaces the target beside a daemon by one of another service, while the
@@ -269,17 +270,21 @@
 				return err
 			}
 		}
-		d := firstChange + time.Duration(i)*changeStep
+		d := time.Duration(float64(firstChange) * math.Pow(changeFactor, float64(i)))
 		time.Sleep(d)
 		m.service = map[string]string{serviceA: serviceB, serviceB: serviceA}[m.service]
 		m.target.service = m.service
 		if err := m.writeSettings(); err != nil {
 			return err
 		}
+		f.note("%s belongs to %s now, %s after the start of its daemon", m.name, m.service, d)
+	}
+	time.Sleep(time.Second)
+	for _, m := range changed {
 		m.signal(syscall.SIGHUP)
-		f.note("%s belongs to %s now, %s after the start of its daemon: SIGHUP", m.name, m.service, d)
 	}
-	time.Sleep(2 * time.Second)
+	f.note("SIGHUP for all daemons")
+	time.Sleep(time.Second)
 	for _, m := range changed {
 		if err := m.target.start(0); err != nil {
 			return err
