Let clients receive their answer before a connection closes

Cause: the kernel resets a connection that is closed with unread bytes and drops what it hasn't sent yet. Only refused heads and refused bodies were followed by a discard, each with its own bound.

plainhttp.Conn.Close is now the one end of a connection, for answers, refusals and all doors: it ends the side that sends and waits for the client, at most 1 s without a byte and 5 s in all. Between two requests it reads nothing, since a client may repeat a request that hasn't been read. A stop waits for such clients within its time. The door of operators uses the same Stopper; its answers could be cut by a stop.

--- a/internal/policy/operator/client.go
+++ b/internal/policy/operator/client.go
@@ -44,6 +44,8 @@
 	untaken atomic.Int32
 	served  atomic.Bool
 	gone    atomic.Bool
+	// finished is true once the connection only waits for its end.
+	finished atomic.Bool
 }
 
 // Progress notes that the client has sent or taken something at the time t.
@@ -168,6 +170,14 @@
 	return c != nil && c.table.relieve(int64(n), t)
 }
 
+// Finish gives back what the client holds, because its connection only waits for its end.
+func (c *Client) Finish() {
+	if c != nil {
+		c.finished.Store(true)
+		c.Release(lavenderridge.ByteCount(c.held.Load()))
+	}
+}
+
 // Leave removes the client from its table and gives back what it holds.
 func (c *Client) Leave() {
 	if c != nil {
@@ -184,6 +194,8 @@
 	switch {
 	case c.running.Load() > d:
 		return 0
+	case c.finished.Load():
+		// The least time is enough.
 	case d > 0:
 		m = deliveryStall
 	case c.body.Load() > 0:
@@ -195,7 +207,7 @@
 		return 0
 	}
 	v := float64(int64(clientMemory)+c.held.Load()+c.body.Load()) * s.Seconds()
-	if c.served.Load() {
+	if c.served.Load() && !c.finished.Load() {
 		return v / servedFactor
 	}
 	return v
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -87,7 +86,7 @@
 		// rewrite their paths.
 		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
 	)
-	s.stopper = plainhttp.NewStopper(s.Server)
+	s.stopper = plainhttp.NewStopper(s.Server, n)
 	s.ReadHeaderTimeout = readHeaderTimeout
 	s.IdleTimeout = idleTimeout
 	// The listener refuses heads first, with the fields of the protocol.
@@ -121,7 +120,7 @@
 	n.HeadRead()
 	r, e := s.newRequest(q, time.Now())
 	if e != nil {
-		s.refuseUnread(w, q, r.ID, lavenderridge.AsRefusal(e))
+		s.refuseUnread(w, r.ID, lavenderridge.AsRefusal(e))
 		return
 	}
 	a := s.bodies.NewAccount()
@@ -132,7 +131,7 @@
 			s.writeRefusal(w, r.ID, f)
 			return
 		}
-		s.refuseUnread(w, q, r.ID, f)
+		s.refuseUnread(w, r.ID, f)
 		return
 	}
 	if !s.drain.Enter() {
@@ -144,7 +143,7 @@
 	defer s.drain.Leave()
 	n.Client().Begin()
 	defer n.Client().End()
-	if callerHasLeft(q.Context()) {
+	if n != nil && n.HasLeft() {
 		s.writeRefusal(w, r.ID, lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonCancelled, "the caller has left"))
 		return
 	}
@@ -188,20 +187,12 @@
 	return b, c.SetReadDeadline(time.Time{})
 }
 
-// refuseUnread writes the refusal f of a request whose body has not been read whole. It
-// then discards the rest, because the caller might not see the refusal if the connection
-// were closed with unread bytes.
-func (s *Server) refuseUnread(w http.ResponseWriter, q *http.Request, d lavenderridge.RequestID, f *lavenderridge.Refusal) {
+// refuseUnread writes the refusal f of a request whose body has not been read whole. The
+// HTTP library reads the rest of a small body, so that the connection can be kept, and
+// closes it otherwise.
+func (s *Server) refuseUnread(w http.ResponseWriter, d lavenderridge.RequestID, f *lavenderridge.Refusal) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 	s.writeRefusal(w, d, f)
-	// With Expect, the caller sends no body before it is asked for it.
-	if s.stopping.Load() || q.Header.Get("Expect") != "" {
-		return
-	}
-	c := http.NewResponseController(w)
-	if e := errors.Join(c.Flush(), c.SetReadDeadline(time.Now().Add(discardTimeout))); e != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, int64(s.bodyLimit())))
 }
 
 // bodyLimit returns the lower one of the server's own limit and that of
--- a/internal/transport/operatorhttp/server.go
+++ b/internal/transport/operatorhttp/server.go
@@ -43,6 +43,7 @@
 	requestSlots chan struct{}
 	clients      *operator.ClientTable
 	maxFields    int
+	stopper      *plainhttp.Stopper
 }
 
 // NewServer returns a server on the listener l. The function f returns the
@@ -59,8 +60,9 @@
 	for _, v := range o {
 		v(s)
 	}
+	n := plainhttp.NewListener(l, s.clients, s.headLimits, 0)
 	s.Server = kratoshttp.NewServer(
-		kratoshttp.Listener(plainhttp.NewListener(l, s.clients, s.headLimits, 0)),
+		kratoshttp.Listener(n),
 		kratoshttp.Address(l.Addr().String()),
 		kratoshttp.Timeout(0),
 		kratoshttp.Filter(s.filter),
@@ -68,7 +70,8 @@
 	s.ReadTimeout, s.ReadHeaderTimeout = readTimeout, readTimeout
 	s.WriteTimeout, s.IdleTimeout = writeTimeout, idleTimeout
 	s.MaxHeaderBytes = maxHeaderSize
-	s.ConnState, s.ConnContext = plainhttp.ConnState, plainhttp.WithConn
+	s.stopper = plainhttp.NewStopper(s.Server, n)
+	s.ConnContext = plainhttp.WithConn
 	s.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) })
 	s.HandleFunc("/burn", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.burn()) })
 	s.HandleFunc("/decisions", s.serveDecisions)
@@ -83,18 +86,26 @@
 	return operator.HeadLimits{Bytes: maxHeaderSize + headSlack, Fields: s.maxFields}
 }
 
-// Run serves requests until c is cancelled.
+// Run serves requests until c is cancelled, and completes those that are running.
 func (s *Server) Run(c context.Context) error {
 	x := context.WithoutCancel(c)
-	f := context.AfterFunc(c, func() {
-		t, n := context.WithTimeout(x, stopTimeout)
-		defer n()
-		if s.Stop(t) != nil {
-			_ = s.Close()
-		}
-	})
-	defer f()
-	if e := s.Start(x); e != nil {
+	f := make(chan error, 1)
+	go func() { f <- s.Start(x) }()
+	select {
+	case e := <-f:
+		return runError(e)
+	case <-c.Done():
+	}
+	t, n := context.WithTimeout(x, stopTimeout)
+	defer n()
+	if s.stopper.Stop(t, s.Server) != nil {
+		_ = s.Close()
+	}
+	return runError(<-f)
+}
+
+func runError(e error) error {
+	if e != nil {
 		return fmt.Errorf("operatorhttp: %w", e)
 	}
 	return nil
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -41,14 +41,15 @@
 // calls f with the size of the response body, which is 0 if there is no response.
 func NewServer(t *Transport, p lavenderridge.Peer, f func(lavenderridge.ByteCount)) *Server {
 	s := &Server{transport: t, peer: p, onSent: f, clients: t.clients}
+	l := plainhttp.NewListener(t.listener, s.clients, nil, 0)
 	s.http = kratoshttp.NewServer(
-		kratoshttp.Listener(plainhttp.NewListener(t.listener, s.clients, nil, 0)),
+		kratoshttp.Listener(l),
 		kratoshttp.Address(string(t.Address())),
 		kratoshttp.Timeout(0),
 		kratoshttp.TLSConfig(s.tlsConfig()),
 		kratoshttp.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serveHTTP) }),
 	)
-	s.stopper = plainhttp.NewStopper(s.http)
+	s.stopper = plainhttp.NewStopper(s.http, l)
 	s.http.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTimeout, PingTimeout: dialTimeout, WriteByteTimeout: writeTimeout,
 	}
--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,9 +22,7 @@
 	// writePiece is the size in bytes of a part of a response that a client must take in
 	// time.
 	writePiece = 64 << 10
-	// refusalDiscard bounds, in bytes, what is read after a refused head, so that the
-	// client sees the refusal, and refusalTimeout for how long.
-	refusalDiscard = 64 << 10
+	// refusalTimeout bounds how long the refusal of a head may take to be written.
 	refusalTimeout = 500 * time.Millisecond
 )
 
@@ -41,12 +40,19 @@
 	held    lavenderridge.ByteCount // by the head
 	// writeUntil is the deadline of writes.
 	writeUntil time.Time
+
+	opened time.Time
+	// written is the time of the latest write, in nanoseconds since opened, or zero.
+	written atomic.Int64
+	// ended is true if nothing more can arrive, idle between two requests, and closing after
+	// Close.
+	ended, idle, closing atomic.Bool
 }
 
 var _ syscall.Conn = (*Conn)(nil)
 
 func newConn(n net.Conn, l *Listener, c *operator.Client) *Conn {
-	v := &Conn{Conn: n, client: c, listener: l}
+	v := &Conn{Conn: n, client: c, listener: l, opened: time.Now()}
 	v.inHead.Store(l.heads != nil)
 	return v
 }
@@ -81,6 +87,13 @@
 		return 0, io.EOF
 	}
 	k, e := n.Conn.Read(b)
+	if e != nil && !os.IsTimeout(e) {
+		n.ended.Store(true)
+	}
+	if n.closing.Load() {
+		// What arrives after Close must not be taken for a request.
+		return 0, net.ErrClosed
+	}
 	if k == 0 {
 		return k, e
 	}
@@ -123,21 +136,26 @@
 	return true
 }
 
-// refuse writes the answer s and discards some of what still arrives, because the client
-// might not see the answer if the connection were closed with unread bytes.
+// refuse writes the answer s, behind which the HTTP library must not write its own.
 func (n *Conn) refuse(s string) {
-	d := time.Now().Add(refusalTimeout)
-	if e := n.SetDeadline(d); e != nil {
+	if e := n.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)); e != nil {
 		return
 	}
-	if _, e := io.WriteString(n.Conn, s); e != nil || n.CloseWrite() != nil {
-		return
+	if _, e := io.WriteString(n.Conn, s); e == nil && n.CloseWrite() == nil {
+		n.written.Store(int64(time.Since(n.opened)))
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(n.Conn, refusalDiscard))
 }
 
 // Write implements net.Conn.
 func (n *Conn) Write(b []byte) (int, error) {
+	k, e := n.write(b)
+	if k > 0 {
+		n.written.Store(int64(time.Since(n.opened)))
+	}
+	return k, e
+}
+
+func (n *Conn) write(b []byte) (int, error) {
 	if n.listener.pause == 0 {
 		return n.Conn.Write(b)
 	}
@@ -158,6 +176,14 @@
 	}
 }
 
+// SetReadDeadline implements net.Conn. After Close, the deadline stays as it is.
+func (n *Conn) SetReadDeadline(t time.Time) error {
+	if n.closing.Load() {
+		return net.ErrClosed
+	}
+	return n.Conn.SetReadDeadline(t)
+}
+
 // SetWriteDeadline implements net.Conn. The HTTP library clears the deadline after each
 // answer; while clients must take theirs in time, Write sets it instead.
 func (n *Conn) SetWriteDeadline(t time.Time) error {
@@ -167,12 +193,6 @@
 	return n.Conn.SetWriteDeadline(t)
 }
 
-// Close implements net.Conn.
-func (n *Conn) Close() error {
-	n.client.Leave()
-	return n.Conn.Close()
-}
-
 // CloseWrite closes the side of the connection that sends.
 func (n *Conn) CloseWrite() error {
 	if c, o := n.Conn.(interface{ CloseWrite() error }); o {
@@ -189,6 +209,23 @@
 	return nil, errors.New("plainhttp: the connection has no descriptor")
 }
 
+// HasLeft reports whether the client has closed the connection. The HTTP library finds out
+// as well, but only while a request is already being handled.
+func (n *Conn) HasLeft() bool {
+	r, e := n.SyscallConn()
+	if e != nil {
+		return false
+	}
+	o := false
+	// Unlike Read, Control does not wait until the library's read ends.
+	e = r.Control(func(d uintptr) {
+		var b [1]byte
+		k, _, x := syscall.Recvfrom(int(d), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		o = x == nil && k == 0 || errors.Is(x, syscall.ECONNRESET)
+	})
+	return e == nil && o
+}
+
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
@@ -206,14 +243,14 @@
 
 // ConnState follows the requests of the connection n; it is an http.Server.ConnState.
 func ConnState(n net.Conn, t http.ConnState) {
-	if t != http.StateIdle {
-		return
-	}
 	switch c := n.(type) {
 	case *Conn:
-		c.nextHead()
+		c.idle.Store(t == http.StateIdle)
+		if t == http.StateIdle {
+			c.nextHead()
+		}
 	case *tls.Conn:
-		if v, o := c.NetConn().(*Conn); o {
+		if v, o := c.NetConn().(*Conn); o && t == http.StateIdle {
 			v.client.Taken(time.Now())
 		}
 	}
--- a/internal/transport/plainhttp/listener.go
+++ b/internal/transport/plainhttp/listener.go
@@ -19,6 +19,7 @@
 	pause   time.Duration
 	// tooLarge and noMemory are the whole answers to heads that are refused.
 	tooLarge, noMemory string
+	lingering          *lingering
 }
 
 // NewListener returns a listener on l with the table t. The function f returns the limits
@@ -29,6 +30,8 @@
 		Listener: l, clients: t, heads: f, pause: d,
 		tooLarge: headRefusal(http.StatusRequestHeaderFieldsTooLarge, nil),
 		noMemory: headRefusal(http.StatusServiceUnavailable, http.Header{"Retry-After": {"1"}}),
+
+		lingering: newLingering(),
 	}
 }
 
