--- a/exchange.go
+++ b/exchange.go
@@ -17,10 +17,9 @@
 	// a daemon whose contact was reported to the sender; zero means that the
 	// sender knows of no such response.
 	SourceAge time.Duration
-	// ReadFor is for how long the sender asks the receiver to read the source in its
-	// place, because the source refuses the sender; zero means that it doesn't.
-	ReadFor time.Duration
-	// Proof is the sender's latest proof of its accepted catalogue. Only replies carry it:
-	// the delay of any other message is unknown.
-	Proof CatalogueProof
+	// Proof is the sender's latest proof of its accepted catalogue, and Following what it
+	// knows of who follows the source. Only replies carry them: the delay of any other
+	// message is unknown.
+	Proof     CatalogueProof
+	Following Following
 }
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -20,11 +20,15 @@
 
 // Defaults and bounds of the settings; docs/reference/settings.md lists them.
 const (
-	defaultOperator       = "127.0.0.1:7300"
-	defaultMaxBody        = lavenderridge.Mebibyte
-	maxMaxBody            = 64 * lavenderridge.Mebibyte
-	defaultStopTimeout    = 30 * time.Second
-	minStopTimeout        = time.Second
+	defaultOperator    = "127.0.0.1:7300"
+	defaultMaxBody     = lavenderridge.Mebibyte
+	maxMaxBody         = 64 * lavenderridge.Mebibyte
+	defaultStopTimeout = 30 * time.Second
+	minStopTimeout     = time.Second
+	minApplyWithin     = time.Second
+	maxApplyWithin     = time.Minute
+	// platformApplyWithin is the shortest time that the platform promises its operators.
+	platformApplyWithin   = 2 * time.Second
 	maxStopTimeout        = 10 * time.Minute
 	defaultConnections    = 130 // to one backend server
 	maxConnections        = 100_000
@@ -219,6 +223,11 @@
 	for k, v := range r.table("Regions") {
 		d.Regions[lavenderridge.DataCentreID(k)] = lavenderridge.RegionID(v)
 	}
+	w := configservice.DefaultApplyWithin
+	if s.UsesPlatform() {
+		w = platformApplyWithin
+	}
+	d.ApplyWithin = r.duration("ConfigService.ApplyWithin", w, minApplyWithin, maxApplyWithin)
 	d.Metrics = r.optionalAddress("Operator.Metrics")
 	d.LinkRate = lavenderridge.BitRate(r.number("Limits.LinkMegabits", 0, maxLinkMegabits) * bitsPerMegabit)
 	d.Memory = lavenderridge.ByteCount(r.number("Limits.MemoryMegabytes", 0, maxMemoryMegabytes) * bytesPerMegabyte)
--- a/internal/daemon/assembly/config.go
+++ b/internal/daemon/assembly/config.go
@@ -83,6 +83,9 @@
 	// FleetSize is the number of daemons that are assumed to start concurrently
 	// while there is no instance list; zero means 500.
 	FleetSize int
+	// ApplyWithin is the time within which a change that the source has acknowledged is in
+	// force everywhere; zero means 6 s.
+	ApplyWithin time.Duration
 	// RevokeWithin is the time from which on after the source has acknowledged that a
 	// customer's key is taken away no new request with it runs, also on daemons without
 	// contact. Zero means that only the spreading of versions bounds it.
--- a/internal/daemon/assembly/configpart.go
+++ b/internal/daemon/assembly/configpart.go
@@ -93,8 +93,8 @@
 			return nil, e
 		}
 		d.closeLater(s.Close)
-		p.follower = configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.neighbourhood.LastMessage, d.metrics,
-			configservice.WithSubstitutes(p.gossiper.AskToRead), configservice.WithFollowerProofs(p.proofs))
+		p.follower = configservice.NewFollower(s, p.store, a, p.gate, p.contact, d.clock, d.log, d.config.Instance, d.config.DataCentre, p.contact.HeardFollowing, d.metrics,
+			configservice.WithFollowerApply(d.applyPlan()), configservice.WithFollowerProofs(p.proofs))
 		return p.follower, nil
 	}
 	s, e := confighttp.NewClient(c, d.config.ConfigService)
@@ -105,6 +105,11 @@
 	return configservice.NewReader(s, p.store, a, p.gate, p.contact, d.clock, d.config.Instance, d.config.DataCentre, readerOptions(d, p)...), nil
 }
 
+// applyPlan returns the plan with which changes of the source come into force in time.
+func (d *Daemon) applyPlan() configpolicy.ApplyPlan {
+	return configpolicy.NewApplyPlan(d.config.ApplyWithin)
+}
+
 // newGossiper returns the gossiper, which exchanges versions and documents with
 // other daemons.
 func newGossiper(d *Daemon, p *configPart, a *configservice.Acceptor) *peer.Gossiper {
@@ -116,18 +121,15 @@
 		peer.WithLeaving(func() bool { return d.owner.leaving() }),
 		peer.WithSuspects(deferredSuspects{daemon: d}),
 		peer.WithProofs(p.proofs),
-		peer.WithReadRequests(func(t time.Duration) {
-			if p.follower != nil {
-				p.follower.ReadFor(t)
-			}
-		}),
+		peer.WithApply(d.applyPlan()),
 	)
 }
 
 func readerOptions(d *Daemon, p *configPart) []func(*configservice.Reader) {
 	o := []func(*configservice.Reader){
 		configservice.WithLogger(d.log),
-		configservice.WithLastPeerMessage(p.neighbourhood.LastMessage),
+		configservice.WithHeardFollowing(p.contact.HeardFollowing),
+		configservice.WithReaderApply(d.applyPlan()),
 		configservice.WithFleetSize(d.config.fleetSize()),
 		configservice.WithReaderProofs(p.proofs),
 	}
--- a/internal/daemon/configservice/follower.go
+++ b/internal/daemon/configservice/follower.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,9 @@
 const (
 	// maxPages is the limit on the number of pages of one listing.
 	maxPages = 64
+	// holdCheckInterval is how often a daemon that waits looks whether the store holds
+	// something.
+	holdCheckInterval = 250 * time.Millisecond
 	// maxRejectionLines bounds the log lines about unusable facts of one call.
 	maxRejectionLines = 8
 )
@@ -30,9 +32,8 @@
 
 // A Follower copies the facts of a FactSource and offers the documents that it
 // builds from them. It lists the facts once. Afterwards it watches them while the
-// daemon is one of the readers of its data centre or was asked to read in place of one,
-// and reads them occasionally when it lacks a document, receives no messages from neighbours, or no daemon is
-// known to have recent contact with the source.
+// daemon is one of the readers of its data centre, or has heard for too long of no other
+// daemon that follows the source, and reads them occasionally when it lacks a document.
 type Follower struct {
 	source    lavenderridge.FactSource
 	mirror    *configservice.Mirror
@@ -47,20 +48,17 @@
 	returns   metrics.Counter
 	outdated  metrics.Counter
 
-	instance        lavenderridge.InstanceID
-	dataCentre      lavenderridge.DataCentreID
-	lastPeerMessage func() time.Time
-	// started is the time at which Run was called. It stands for the time of the
-	// last message from a neighbour until there is a later one.
+	instance   lavenderridge.InstanceID
+	dataCentre lavenderridge.DataCentreID
+	// heardFollowing returns when another daemon last followed the source.
+	heardFollowing func() time.Time
+	apply          configservice.ApplyPlan
+	// started is the time at which Run was called. It stands for that time until there is
+	// a later one.
 	started    time.Time
 	sourceLost bool
-
-	// ask asks the instance n to read the source for the time d.
-	ask          func(c context.Context, n lavenderridge.InstanceID, d time.Duration) error
-	substitution configservice.Substitution
-	// readUntil is when the daemon stops reading in place of a reader, in nanoseconds
-	// since the Unix epoch.
-	readUntil atomic.Int64
+	// steppedIn is true while the daemon follows the source in place of the readers.
+	steppedIn bool
 	// unsureUntil is until when the source's word opens no gate and proves nothing, because it has just come
 	// back from an older copy and may lack versions that are in force.
 	unsureUntil time.Time
@@ -83,23 +81,22 @@
 	return func(f *Follower) { f.proofs = t }
 }
 
-// WithSubstitutes makes a follower that is a reader and that the source refuses ask
-// other daemons with f to read in its place.
-func WithSubstitutes(f func(c context.Context, n lavenderridge.InstanceID, d time.Duration) error) func(*Follower) {
-	return func(v *Follower) { v.ask = f }
+// WithFollowerApply makes a follower read the source as the plan p requires. The default is
+// the plan for DefaultApplyWithin.
+func WithFollowerApply(p configservice.ApplyPlan) func(*Follower) {
+	return func(f *Follower) { f.apply = p }
 }
 
 // NewFollower returns a follower of the source s for the daemon of the instance n
-// in the data centre d. The function h returns the time of the last message from
-// a neighbour. Facts that cannot be used are counted in the registry r.
+// in the data centre d. The function h returns the latest time at which another daemon is
+// known to have followed the source. Facts that cannot be used are counted in the registry r.
 func NewFollower(s lavenderridge.FactSource, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, l *zap.Logger, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, h func() time.Time, r metrics.Registry, o ...func(*Follower)) *Follower {
 	f := &Follower{
 		source: s, mirror: configservice.NewMirror(), store: t, acceptor: a, gate: g, contact: p, clock: k, log: l,
-		instance: n, dataCentre: d, lastPeerMessage: h,
+		instance: n, dataCentre: d, heardFollowing: h, apply: configservice.NewApplyPlan(0),
 		rejected: metrics.NewRegisteredCounter("SourceFactsRejected", r),
 		returns:  metrics.NewRegisteredCounter("SourceReturns", r),
 		outdated: metrics.NewRegisteredCounter("SourceResponsesOutdated", r),
-		ask:      func(context.Context, lavenderridge.InstanceID, time.Duration) error { return nil },
 	}
 	for _, v := range o {
 		v(f)
@@ -109,14 +106,6 @@
 	return f
 }
 
-// ReadFor makes the daemon read the source for the time d, as a reader does. It does not
-// block.
-func (f *Follower) ReadFor(d time.Duration) {
-	t := f.clock.Now().Add(min(d, configservice.SubstitutePeriod)).UnixNano()
-	for v := f.readUntil.Load(); v < t && !f.readUntil.CompareAndSwap(v, t); v = f.readUntil.Load() {
-	}
-}
-
 // Run reads the source as the scheduler decides, until c ends.
 func (f *Follower) Run(c context.Context) error {
 	f.started = f.clock.Now()
@@ -125,6 +114,7 @@
 		f.store.Release(f.clock.Now())
 		s := f.state(n)
 		p := f.scheduler.Next(s, rand.Float64())
+		f.logStep(!s.IsReader && !p.Skip && s.HasInstanceList && s.HasVersion, s.FollowAge)
 		if f.sleep(c, p.Delay) != nil {
 			break
 		}
@@ -135,7 +125,6 @@
 		if e := f.readSource(c, f.watchWait(p.Wait)); e != nil {
 			n++
 			f.onFailure(c, e)
-			f.askSubstitute(c, n)
 			continue
 		}
 		n = 0
@@ -144,18 +133,20 @@
 	return nil
 }
 
-// sleep waits for d. It ends what the store holds when that is due.
+// sleep waits for d. It ends what the store holds when that is due, also if the store
+// begins to hold it only meanwhile.
 func (f *Follower) sleep(c context.Context, d time.Duration) error {
-	u := f.clock.Now().Add(d)
-	for {
-		t, o := f.store.HeldUntil()
-		if !o || !t.Before(u) {
-			return lavenderridge.Sleep(c, u.Sub(f.clock.Now()))
+	for u := f.clock.Now().Add(d); ; f.store.Release(f.clock.Now()) {
+		w := u.Sub(f.clock.Now())
+		if w <= 0 {
+			return c.Err()
+		}
+		if t, o := f.store.HeldUntil(); o {
+			w = min(w, t.Sub(f.clock.Now()))
 		}
-		if e := lavenderridge.Sleep(c, t.Sub(f.clock.Now())); e != nil {
+		if e := lavenderridge.Sleep(c, min(w, holdCheckInterval)); e != nil {
 			return e
 		}
-		f.store.Release(f.clock.Now())
 	}
 }
 
@@ -175,16 +166,17 @@
 // in a row.
 func (f *Follower) state(n int) configservice.ReadState {
 	t := f.clock.Now()
-	h := f.lastPeerMessage()
+	h := f.heardFollowing()
 	if h.Before(f.started) {
 		h = f.started
 	}
-	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, PeerAge: t.Sub(h), SourceAge: f.contact.Age(t), Revocation: f.proofs.Plan(), CatalogueAge: f.proofs.Age()}
+	s := configservice.ReadState{HasInstanceList: f.mirror.AsOf() > 0, Failures: n, Rank: -1, FollowAge: t.Sub(h), Apply: f.apply, Revocation: f.proofs.Plan(), CatalogueAge: f.proofs.Age()}
 	v := f.store.Stamps()
 	s.HasVersion = v.Catalogue.Version > 0 && v.InstanceList.Version > 0 && !f.isAsked(v)
 	if l := f.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
-		s.IsReader = f.isReader(l) || t.UnixNano() < f.readUntil.Load()
+		s.Rank = configservice.ReaderRank(l, f.store.Catalogue(), f.dataCentre, f.instance)
+		s.IsReader = configservice.IsReader(s.Rank)
 	}
 	return s
 }
@@ -196,27 +188,18 @@
 	return f.asked.Load() && configservice.ListEra(v.InstanceList.Version) > 0
 }
 
-// isReader reports whether the daemon is a reader according to the list l.
-func (f *Follower) isReader(l *lavenderridge.InstanceList) bool {
-	return slices.Contains(configservice.Readers(l, f.store.Catalogue(), f.dataCentre), f.instance)
-}
-
-// askSubstitute asks another daemon to read the source after n failures in a row, if this
-// one is a reader.
-func (f *Follower) askSubstitute(c context.Context, n int) {
-	l := f.store.InstanceList()
-	if l == nil || !f.isReader(l) {
-		return
-	}
-	d := f.substitution.Next(l, f.store.Catalogue(), f.dataCentre, f.instance, n, f.contact.Age(f.clock.Now()))
-	if d == "" {
+// logStep logs that the daemon follows the source in place of the readers, if o is true, or
+// no longer does. The latest word of another daemon that follows it has the age a.
+func (f *Follower) logStep(o bool, a time.Duration) {
+	if o == f.steppedIn {
 		return
 	}
-	if e := f.ask(c, d, configservice.SubstitutePeriod); e != nil {
-		f.log.Warn("SubstituteNotAsked", zap.String("Instance", string(d)), zap.Error(e))
-		return
+	f.steppedIn = o
+	n := "SteppedBack"
+	if o {
+		n = "SteppedIn"
 	}
-	f.log.Info("SubstituteAsked", zap.String("Instance", string(d)), zap.Int("Failures", n))
+	f.log.Info(n, zap.Int64("FollowAgeMilliseconds", a.Milliseconds()))
 }
 
 // readSource makes one complete listing or one watch that waits for w, and offers
@@ -225,7 +208,10 @@
 	b, v := f.gate.Epoch(), f.store.Stamps().InstanceList.Version
 	q := f.asked.Swap(false)
 	u := f.proofs.BeginCall()
-	if e := f.readChanges(c, w); e != nil {
+	f.contact.CallBegun(f.clock.Now(), w)
+	e := f.readChanges(c, w)
+	f.contact.CallEnded(f.clock.Now(), e)
+	if e != nil {
 		if q {
 			f.asked.Store(true)
 		}
--- a/internal/daemon/configservice/follower_test.go
+++ b/internal/daemon/configservice/follower_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -26,26 +25,25 @@
 // testFollower is a stand-in source with the store and the gate of a follower of
 // it.
 type testFollower struct {
-	source          *factsource.Source
-	store           *policy.Store
-	gate            *policy.ReadinessGate
-	lastPeerMessage func() time.Time
-	follower        *configservice.Follower
+	source         *factsource.Source
+	store          *policy.Store
+	gate           *policy.ReadinessGate
+	contact        *policy.SourceContact
+	heardFollowing func() time.Time
 }
 
 // start runs a follower for the instance n until the test ends. The function h
-// returns the time of the last message from a neighbour.
+// returns when another daemon last followed the source.
 func start(t *testing.T, n lavenderridge.InstanceID, h func() time.Time, o ...func(*configservice.Follower)) *testFollower {
 	t.Helper()
 	k := assembly.SystemClock{}
-	f := &testFollower{source: factsource.NewSource(), store: policy.NewStore(canonicalcbor.NewCodec()), gate: policy.NewReadinessGate(k.Now()), lastPeerMessage: h}
+	f := &testFollower{source: factsource.NewSource(), store: policy.NewStore(canonicalcbor.NewCodec()), gate: policy.NewReadinessGate(k.Now()), contact: policy.NewSourceContact(k.Now()), heardFollowing: h}
 	f.putCatalogue(1)
 	for i := range 7 {
 		f.putInstance(i)
 	}
 	a := configservice.NewAcceptor(f.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(f.source, f.store, a, f.gate, policy.NewSourceContact(k.Now()), k, zap.NewNop(), n, "kyu-a", f.lastPeerMessage, metrics.NewRegistry(), o...)
-	f.follower = v
+	v := configservice.NewFollower(f.source, f.store, a, f.gate, f.contact, k, zap.NewNop(), n, "kyu-a", f.heardFollowing, metrics.NewRegistry(), o...)
 	c, x := context.WithCancel(t.Context())
 	d := make(chan error, 1)
 	go func() { d <- v.Run(c) }()
@@ -125,74 +123,80 @@
 	eventually(t, 4*time.Second, "lapsed instance", func() bool { return f.hasVersion(4, 6) })
 }
 
-// otherInstances returns the instances of the data centre that aren't readers.
-func otherInstances(n int) []lavenderridge.InstanceID {
+// ranked returns the instances of a data centre of n instances by their rank.
+func ranked(n int) []lavenderridge.InstanceID {
 	l := &lavenderridge.InstanceList{}
-	var a []lavenderridge.InstanceID
+	a := make([]lavenderridge.InstanceID, n)
 	for i := range n {
-		a = append(a, instanceID(i))
 		l.Instances = append(l.Instances, lavenderridge.Instance{ID: instanceID(i), DataCentre: "kyu-a", State: lavenderridge.InstanceLive})
 	}
-	r := policy.Readers(l, nil, "kyu-a")
-	return slices.DeleteFunc(a, func(d lavenderridge.InstanceID) bool { return slices.Contains(r, d) })
+	for i := range n {
+		a[policy.ReaderRank(l, nil, "kyu-a", instanceID(i))] = instanceID(i)
+	}
+	return a
 }
 
-// TestRefusedReaderAsksForSubstitutes guards against versions that reach nobody while the
-// source refuses its readers and serves the others.
-func TestRefusedReaderAsksForSubstitutes(t *testing.T) {
-	asked := make(chan lavenderridge.InstanceID, 100)
-	f := start(t, reader(7), never, configservice.WithSubstitutes(func(_ context.Context, n lavenderridge.InstanceID, _ time.Duration) error {
-		asked <- n
-		return nil
-	}))
-	g := start(t, otherInstances(7)[0], time.Now)
-	eventually(t, time.Second, "listing", func() bool { return f.hasVersion(1, 7) && g.hasVersion(1, 7) })
+func standby(n int) lavenderridge.InstanceID { return ranked(n)[2] }
+
+func last(n int) lavenderridge.InstanceID { return ranked(n)[n-1] }
+
+// TestOthersStepIn guards against versions that reach nobody while the source refuses its
+// readers, or these are gone, and serves the others.
+func TestOthersStepIn(t *testing.T) {
+	const within = 2 * time.Second
+	a := configservice.WithFollowerApply(policy.NewApplyPlan(within))
+	f := start(t, reader(7), never, a)
+	heard := func() time.Time {
+		n := time.Now()
+		return n.Add(-f.contact.Following("reader", n).Age)
+	}
+	standby, other := start(t, standby(7), heard, a), start(t, last(7), heard, a)
+	for _, v := range []*testFollower{f, standby, other} {
+		eventually(t, time.Second, "listing", func() bool { return v.hasVersion(1, 7) })
+	}
+	n := standby.source.Calls() + other.source.Calls()
+	time.Sleep(2 * within)
+	if d := standby.source.Calls() + other.source.Calls() - n; d > 0 {
+		t.Errorf("%d calls while a reader follows the source; want none", d)
+	}
 	f.source.SetDown(true)
 	f.source.DropHistory() // ends the watch
-	select {
-	case n := <-asked:
-		if !slices.Contains(otherInstances(7), n) {
-			t.Errorf("asked %s, which is a reader", n)
-		}
-	case <-time.After(time.Second):
-		t.Fatal("nobody was asked within 1s")
+	standby.putCatalogue(2)
+	other.putCatalogue(2)
+	b := time.Now()
+	eventually(t, within, "change read by a standby", func() bool { return standby.hasVersion(2, 7) })
+	eventually(t, within-time.Since(b), "change read by others", func() bool { return other.hasVersion(2, 7) })
+	// They read like readers, and only for a time.
+	n = other.source.Calls()
+	time.Sleep(2 * within)
+	if d := other.source.Calls() - n; d > 6 {
+		t.Errorf("%d calls in %s in place of a reader; want at most 6", d, 2*within)
 	}
-	// A substitute reads for a time only.
-	c := g.source.Calls()
-	g.putCatalogue(2)
-	g.follower.ReadFor(time.Hour)
-	eventually(t, time.Second, "change read by a substitute", func() bool { return g.hasVersion(2, 7) })
-	time.Sleep(policy.SubstitutePeriod + 2500*time.Millisecond)
-	n := g.source.Calls()
+	f.source.SetDown(false)
+	eventually(t, 3*time.Second, "contact of the reader", func() bool { return time.Since(heard()) < within/4 })
+	time.Sleep(within + within/2) // their last watches end
+	n = standby.source.Calls() + other.source.Calls()
 	time.Sleep(time.Second)
-	if d := g.source.Calls() - n; d > 0 || n-c > 6 {
-		t.Errorf("%d calls in place of a reader, and %d after that; want at most 6, and none", n-c, d)
+	if d := standby.source.Calls() + other.source.Calls() - n; d > 0 {
+		t.Errorf("%d calls after the return of the reader", d)
 	}
-	// While nobody has contact with the source, nobody else is asked.
-	for len(asked) > 0 {
-		<-asked
+	// While the source serves nobody, nobody calls it often.
+	for _, v := range []*testFollower{f, standby, other} {
+		v.source.SetDown(true)
+		v.source.DropHistory()
 	}
-	time.Sleep(2 * time.Second)
-	if n := len(asked); n > 0 {
-		t.Errorf("%d daemons were asked although the source serves nobody", n)
+	n = other.source.Calls()
+	time.Sleep(3 * within)
+	if d := other.source.Calls() - n; d > 6 {
+		t.Errorf("%d calls in %s of a source that is down; want at most 6", d, 3*within)
 	}
 }
 
 // TestFollowerSkipsSource checks that a daemon that is not a reader makes
-// no call while it receives messages from neighbours, and reads the source if it
-// receives none.
+// no call while others follow the source, and reads it if it knows of none, within the time
+// for changes.
 func TestFollowerSkipsSource(t *testing.T) {
-	var n lavenderridge.InstanceID
-	l := &lavenderridge.InstanceList{}
-	for i := range 7 {
-		l.Instances = append(l.Instances, lavenderridge.Instance{ID: instanceID(i), DataCentre: "kyu-a", State: lavenderridge.InstanceLive})
-	}
-	r := policy.Readers(l, nil, "kyu-a")
-	for i := range 7 {
-		if !slices.Contains(r, instanceID(i)) {
-			n = instanceID(i)
-		}
-	}
+	n := last(7)
 	f := start(t, n, time.Now)
 	eventually(t, time.Second, "listing", func() bool { return f.hasVersion(1, 7) })
 	c := f.source.Calls()
@@ -203,5 +207,5 @@
 	g := start(t, n, never)
 	eventually(t, time.Second, "listing", func() bool { return g.hasVersion(1, 7) })
 	g.putCatalogue(2)
-	eventually(t, 9*time.Second, "change without messages from neighbours", func() bool { return g.hasVersion(2, 7) })
+	eventually(t, policy.DefaultApplyWithin, "change without word of others", func() bool { return g.hasVersion(2, 7) })
 }
--- a/internal/daemon/configservice/reader.go
+++ b/internal/daemon/configservice/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,10 +27,12 @@
 	clock    lavenderridge.Clock
 	log      *zap.Logger
 
-	instance        lavenderridge.InstanceID
-	dataCentre      lavenderridge.DataCentreID
-	lastPeerMessage func() time.Time
-	fleetSize       int
+	instance   lavenderridge.InstanceID
+	dataCentre lavenderridge.DataCentreID
+	// heardFollowing returns when another daemon last followed the source.
+	heardFollowing func() time.Time
+	apply          configservice.ApplyPlan
+	fleetSize      int
 	// alwaysRead makes the daemon watch even if it is not a reader of its data
 	// centre.
 	alwaysRead bool
@@ -44,8 +45,8 @@
 func NewReader(s lavenderridge.ConfigService, t *configservice.Store, a *Acceptor, g *configservice.ReadinessGate, p *configservice.SourceContact, k lavenderridge.Clock, n lavenderridge.InstanceID, d lavenderridge.DataCentreID, o ...func(*Reader)) *Reader {
 	r := &Reader{
 		source: s, store: t, acceptor: a, gate: g, contact: p, clock: k, log: zap.NewNop(),
-		instance: n, dataCentre: d, fleetSize: 1,
-		lastPeerMessage: func() time.Time { return time.Time{} },
+		instance: n, dataCentre: d, fleetSize: 1, apply: configservice.NewApplyPlan(0),
+		heardFollowing: func() time.Time { return time.Time{} },
 	}
 	for _, f := range o {
 		f(r)
@@ -64,11 +65,17 @@
 	return func(r *Reader) { r.fleetSize = n }
 }
 
-// WithLastPeerMessage sets the function that returns the time of the last message
-// from a neighbour. While that time is recent, a daemon that is not one of the
-// readers of its data centre leaves reading the source to them.
-func WithLastPeerMessage(f func() time.Time) func(*Reader) {
-	return func(r *Reader) { r.lastPeerMessage = f }
+// WithHeardFollowing sets the function that returns the latest time at which another daemon
+// is known to have followed the source. While that time is recent, a daemon that is not one
+// of the readers of its data centre leaves reading the source to them.
+func WithHeardFollowing(f func() time.Time) func(*Reader) {
+	return func(r *Reader) { r.heardFollowing = f }
+}
+
+// WithReaderApply makes a reader read the source as the plan p requires. The default is the
+// plan for DefaultApplyWithin.
+func WithReaderApply(p configservice.ApplyPlan) func(*Reader) {
+	return func(r *Reader) { r.apply = p }
 }
 
 // WithEveryDaemonReading makes the daemon watch the source even if it is not one
@@ -139,20 +146,21 @@
 // based. The reader started at the time b and f calls in a row have failed.
 func (r *Reader) state(d lavenderridge.DocumentName, b time.Time, f int) configservice.ReadState {
 	t := r.clock.Now()
-	h := r.lastPeerMessage()
+	h := r.heardFollowing()
 	if h.Before(b) {
 		h = b
 	}
 	s := configservice.ReadState{
 		HasInstanceList: true, HasVersion: r.store.Acceptance(d).Stamp.Version > 0, IsReader: r.alwaysRead,
-		PeerAge: t.Sub(h), SourceAge: r.contact.Age(t), Failures: f,
+		Rank: -1, FollowAge: t.Sub(h), Apply: r.apply, Failures: f,
 	}
 	if d == lavenderridge.DocumentCatalogue {
 		s.Revocation, s.CatalogueAge = r.proofs.Plan(), r.proofs.Age()
 	}
 	if l := r.store.InstanceList(); l != nil {
 		s.FleetSize = len(l.Instances)
-		s.IsReader = s.IsReader || slices.Contains(configservice.Readers(l, r.store.Catalogue(), r.dataCentre), r.instance)
+		s.Rank = configservice.ReaderRank(l, r.store.Catalogue(), r.dataCentre, r.instance)
+		s.IsReader = s.IsReader || configservice.IsReader(s.Rank)
 	}
 	return s
 }
@@ -161,7 +169,13 @@
 // received, or zero if there is none.
 func (r *Reader) read(c context.Context, d lavenderridge.DocumentName, v lavenderridge.Version, w time.Duration) (lavenderridge.Version, error) {
 	b, u := r.gate.Epoch(), r.proofs.BeginCall()
+	if d == lavenderridge.DocumentCatalogue {
+		r.contact.CallBegun(r.clock.Now(), w)
+	}
 	p, e := r.source.Read(c, d, v, w)
+	if d == lavenderridge.DocumentCatalogue {
+		r.contact.CallEnded(r.clock.Now(), e)
+	}
 	if e != nil {
 		if c.Err() == nil {
 			r.log.Warn("SourceReadFailed", zap.String("Document", string(d)), zap.Error(e))
--- a/internal/daemon/configservice/returns_test.go
+++ b/internal/daemon/configservice/returns_test.go
@@ -41,8 +41,6 @@
 	contact  *policy.SourceContact
 	metrics  metrics.Registry
 	gate     *policy.ReadinessGate
-	// heard is the time of the last exchange in nanoseconds since the Unix epoch.
-	heard atomic.Int64
 	// cutSource and cutPeers cut the daemon off; frozen makes its calls wait as well.
 	cutSource, cutPeers, frozen atomic.Bool
 	// statedEra replaces the era of the responses if it is not negative.
@@ -113,7 +111,7 @@
 	d := &returnDaemon{FactSource: f.source, id: n, store: policy.NewStore(canonicalcbor.NewCodec()), contact: policy.NewSourceContact(k.Now()), gate: policy.NewReadinessGate(k.Now()), metrics: metrics.NewRegistry()}
 	d.statedEra.Store(-1)
 	d.acceptor = configservice.NewAcceptor(d.store, confighttp.Parser{}, k, discardRecorder{}, zap.NewNop())
-	v := configservice.NewFollower(d, d.store, d.acceptor, d.gate, d.contact, k, f.logger(), n, f.dataCentre(n), func() time.Time { return time.Unix(0, d.heard.Load()) }, d.metrics)
+	v := configservice.NewFollower(d, d.store, d.acceptor, d.gate, d.contact, k, f.logger(), n, f.dataCentre(n), d.contact.HeardFollowing, d.metrics, configservice.WithFollowerApply(policy.NewApplyPlan(configApply)))
 	c, x := context.WithCancel(t.Context())
 	w := make(chan error, 1)
 	go func() { w <- v.Run(c) }()
@@ -163,7 +161,9 @@
 		return
 	}
 	t := time.Now()
-	a.heard.Store(t.UnixNano())
+	if v := b.contact.Following(b.id, t); v.By != "" && v.By != a.id {
+		a.contact.PeerFollows(v, t)
+	}
 	a.contact.PeerReported(b.contact.ReportedAge(t), t)
 	s := b.store.Stamps()
 	a.acceptor.PeerContacted(lavenderridge.Sender{Instance: b.id, Stamps: s})
--- a/internal/daemon/peer/fleet_test.go
+++ b/internal/daemon/peer/fleet_test.go
@@ -307,7 +307,7 @@
 		p.proofs = daemonconfig.NewProofTracker(n.fleet.revocation, p.store, steadyClock{n})
 	}
 	p.gossiper = peer.NewGossiper(p.sender, p.store, a, p.gate, s, p.neighbourhood, dialer{n}, n, peer.WithAddress(n.self.Peer), peer.WithRecorder(p), peer.WithProofs(p.proofs), peer.WithSuspects(p.suspects))
-	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithLastPeerMessage(p.neighbourhood.LastMessage), daemonconfig.WithFleetSize(500), daemonconfig.WithReaderProofs(p.proofs))
+	r := daemonconfig.NewReader(n, p.store, a, p.gate, s, n, n.self.ID, n.self.DataCentre, daemonconfig.WithHeardFollowing(s.HeardFollowing), daemonconfig.WithFleetSize(500), daemonconfig.WithReaderProofs(p.proofs))
 	n.fleet.mutex.Lock()
 	p.reachableAtStart, p.faultsAtStart = n.fleet.versionsInReach(n), n.fleet.faults
 	n.proc = p
--- a/internal/daemon/peer/gossiper.go
+++ b/internal/daemon/peer/gossiper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -44,7 +43,7 @@
 	CounterPullDelta   = "Control.PullDelta"
 	CounterProof       = "Control.Proof"
 	CounterPullWhole   = "Control.PullWhole"
-	CounterReadRequest = "Control.ReadRequest"
+	CounterFollowing   = "Control.Following"
 )
 
 // A Gossiper disseminates versions of the configuration by gossip: it announces each
@@ -62,7 +61,6 @@
 	clock         lavenderridge.Clock
 	log           *zap.Logger
 	leaving       func() bool
-	onReadRequest func(time.Duration)
 	address       lavenderridge.Address
 	suspects      lavenderridge.SuspectStore
 	sentSuspects  *peer.SentSuspects
@@ -72,7 +70,10 @@
 	pullers     []*puller
 	pullLimiter *peer.PullLimiter
 	// proofs is nil unless WithProofs is used.
-	proofs           *daemonconfig.ProofTracker
+	proofs *daemonconfig.ProofTracker
+	apply  configservice.ApplyPlan
+	// started is when Run was called.
+	started          time.Time
 	leavingAnnounced atomic.Bool
 	// startedAlone is true if no neighbour replied at the start.
 	startedAlone atomic.Bool
@@ -85,7 +86,7 @@
 func NewGossiper(f func() lavenderridge.Sender, s *configservice.Store, a *daemonconfig.Acceptor, g *configservice.ReadinessGate, t *configservice.SourceContact, h *peer.Neighbourhood, d lavenderridge.PeerDialer, k lavenderridge.Clock, o ...func(*Gossiper)) *Gossiper {
 	p := &Gossiper{
 		self: f, store: s, acceptor: a, gate: g, sourceContact: t, neighbourhood: h, dialer: d, clock: k,
-		log: zap.NewNop(), leaving: func() bool { return false }, onReadRequest: func(time.Duration) {}, counters: metrics.NewRegistry(),
+		log: zap.NewNop(), leaving: func() bool { return false }, apply: configservice.NewApplyPlan(0), counters: metrics.NewRegistry(),
 		pullers:     []*puller{newPuller(lavenderridge.DocumentCatalogue), newPuller(lavenderridge.DocumentInstanceList)},
 		pullLimiter: peer.NewPullLimiter(), sentSuspects: peer.NewSentSuspects(),
 	}
@@ -106,10 +107,10 @@
 	return func(s *Gossiper) { s.leaving = f }
 }
 
-// WithReadRequests makes a gossiper call f when another daemon asks this one to read the
-// source for a time. The function f must not block.
-func WithReadRequests(f func(time.Duration)) func(*Gossiper) {
-	return func(s *Gossiper) { s.onReadRequest = f }
+// WithApply makes a gossiper ask other daemons who follows the source as the plan p
+// requires. The default is the plan for the default time.
+func WithApply(p configservice.ApplyPlan) func(*Gossiper) {
+	return func(s *Gossiper) { s.apply = p }
 }
 
 // WithAddress makes a gossiper send a as the address at which the daemon accepts
@@ -134,7 +135,7 @@
 func WithCounters(r metrics.Registry) func(*Gossiper) {
 	return func(s *Gossiper) {
 		s.counters = r
-		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterProof, CounterPullDelta, CounterPullWhole, CounterReadRequest} {
+		for _, n := range []string{CounterAnnounce, CounterAntiEntropy, CounterGate, CounterProof, CounterPullDelta, CounterPullWhole, CounterFollowing} {
 			metrics.GetOrRegisterCounter(n, r)
 		}
 	}
@@ -143,6 +144,7 @@
 // Run exchanges and pulls versions until c ends. It announces that the daemon is
 // leaving before it returns, if that has not been done.
 func (s *Gossiper) Run(c context.Context) error {
+	s.started = s.clock.Now()
 	g, c := errgroup.WithContext(c)
 	g.Go(func() error { return s.announceLoop(c) })
 	g.Go(func() error { return s.antiEntropyLoop(c) })
@@ -151,7 +153,7 @@
 	}
 	g.Go(func() error { return s.gateLoop(c) })
 	g.Go(func() error { return s.heartbeatLoop(c) })
-	g.Go(func() error { return s.proofLoop(c) })
+	g.Go(func() error { return s.askLoop(c) })
 	e := g.Wait()
 	s.announceLeaving(context.WithoutCancel(c))
 	return e
@@ -173,9 +175,6 @@
 // Exchange implements Exchanger.
 func (s *Gossiper) Exchange(_ context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	s.merge(q, true)
-	if q.ReadFor > 0 {
-		s.onReadRequest(q.ReadFor)
-	}
 	p := s.newExchange(q.Sender.Instance, s.sentSuspects.ForReply)
 	s.sentSuspects.Replied(q.Sender.Instance, q.Sender.Incarnation, p.Suspects, s.clock.Now())
 	return p, nil
@@ -218,6 +217,7 @@
 func (s *Gossiper) newExchange(n lavenderridge.InstanceID, f func(lavenderridge.InstanceID, []lavenderridge.Suspect, time.Time) []lavenderridge.Suspect) *lavenderridge.Exchange {
 	t := s.clock.Now()
 	q := &lavenderridge.Exchange{Sender: s.sender(), Address: s.address, Leaving: s.leaving(), SourceAge: s.sourceContact.ReportedAge(t), Proof: s.proofs.Proof()}
+	q.Following = s.sourceContact.Following(q.Sender.Instance, t)
 	if s.suspects != nil {
 		q.Suspects = f(n, s.suspects.Suspects(t), t)
 	}
@@ -298,25 +298,13 @@
 	return s.sendExchange(c, v, n, s.newExchange(v.ID, s.sentSuspects.ForCall))
 }
 
-// AskToRead asks the instance n to read the source for the time d.
-func (s *Gossiper) AskToRead(c context.Context, n lavenderridge.InstanceID, d time.Duration) error {
-	v := s.neighbourhood.Instance(n)
-	if v == nil {
-		return fmt.Errorf("peer: ask %s to read: not listed", n)
-	}
-	q := s.newExchange(v.ID, s.sentSuspects.ForCall)
-	q.ReadFor = d
-	_, e := s.sendExchange(c, v, CounterReadRequest, q)
-	return e
-}
-
 // sendExchange sends the exchange x as exchangeWith does.
 func (s *Gossiper) sendExchange(c context.Context, v *lavenderridge.Instance, n string, x *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	p := c
 	c, f := context.WithTimeout(c, exchangeTimeout)
 	defer f()
 	s.count(n)
-	b, u := s.gate.Epoch(), s.proofs.BeginCall()
+	b, u, t := s.gate.Epoch(), s.proofs.BeginCall(), s.clock.Now()
 	q, e := s.dialer.Dial(v).Exchange(c, x)
 	if e != nil {
 		if p.Err() == nil {
@@ -325,6 +313,9 @@
 		return nil, e
 	}
 	s.recordProof(q, u)
+	if f := q.Following; f.By != "" && f.By != x.Sender.Instance {
+		s.sourceContact.PeerFollows(f, t)
+	}
 	s.merge(q, false)
 	s.sentSuspects.Exchanged(v.ID, q.Sender.Incarnation, x.Suspects, s.clock.Now())
 	if b > 1 {
--- a/internal/daemon/peer/gossiperproofs.go
+++ b/internal/daemon/peer/gossiperproofs.go
@@ -18,18 +18,17 @@
 	return func(s *Gossiper) { s.proofs = t }
 }
 
-// proofLoop asks other daemons for proofs of the catalogue as the plan decides, until c
-// ends.
-func (s *Gossiper) proofLoop(c context.Context) error {
-	p := s.proofs.Plan()
-	if !p.Enabled() {
-		return nil
-	}
-	v := s.self()
+// askLoop asks other daemons who follows the source, and for proofs of the catalogue, as
+// the plans decide, until c ends.
+func (s *Gossiper) askLoop(c context.Context) error {
+	p, v := s.proofs.Plan(), s.self()
 	a := configservice.NewProofSources(v.Instance, v.DataCentre)
 	w := false // whether the catalogue was too old
-	for lavenderridge.Sleep(c, p.AskInterval(rand.Float64())) == nil {
-		s.askForProof(c, a)
+	for lavenderridge.Sleep(c, s.apply.AskInterval(rand.Float64())) == nil {
+		s.ask(c, a)
+		if !p.Enabled() {
+			continue
+		}
 		if o := s.proofs.Age() >= p.MaxAge(); o != w {
 			w = o
 			s.logStale(o)
@@ -50,11 +49,16 @@
 	s.proofs.PeerReplied(q.Proof, u)
 }
 
-// askForProof exchanges versions with the next of the sources a, unless the proofs are
-// fresh. A source whose reply shows no fresh proof is not asked again at once.
-func (s *Gossiper) askForProof(c context.Context, a *configservice.ProofSources) {
+// ask exchanges versions with the next of the sources a, unless what is known of the
+// source is fresh. A source whose reply isn't is not asked again at once.
+func (s *Gossiper) ask(c context.Context, a *configservice.ProofSources) {
 	p, l := s.proofs.Plan(), s.store.InstanceList()
-	if l == nil || !p.Asks(s.proofs.Age(), a.Update(l, s.store.Catalogue())) {
+	if l == nil {
+		return
+	}
+	i := a.Update(l, s.store.Catalogue())
+	f, k := s.apply.Asks(s.followAge(), i), p.Enabled() && p.Asks(s.proofs.Age(), i)
+	if !f && !k {
 		return
 	}
 	n := s.neighbourhood.Instance(a.Next())
@@ -62,11 +66,27 @@
 		a.Skip()
 		return
 	}
-	if _, e := s.exchangeWith(c, n, CounterProof); e != nil || !p.Improves(s.proofs.Age()) {
+	m := CounterProof
+	if f {
+		m = CounterFollowing
+	}
+	x, g := context.WithTimeout(c, s.apply.AskTimeout())
+	defer g()
+	_, e := s.exchangeWith(x, n, m)
+	if e != nil || f && !s.apply.Improves(s.followAge()) || k && !p.Improves(s.proofs.Age()) {
 		a.Skip()
 	}
 }
 
+// followAge returns the age of the latest word that another daemon follows the source.
+func (s *Gossiper) followAge() time.Duration {
+	h := s.sourceContact.HeardFollowing()
+	if h.Before(s.started) {
+		h = s.started
+	}
+	return s.clock.Now().Sub(h)
+}
+
 // logStale logs that the catalogue has become too old for requests with a key, or is no
 // longer so.
 func (s *Gossiper) logStale(o bool) {
--- a/internal/policy/configservice/gate_test.go
+++ b/internal/policy/configservice/gate_test.go
@@ -49,17 +49,25 @@
 func TestPlan(t *testing.T) {
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, d *datadriven.TestData) string {
 		var s configservice.ReadState
-		var fleet, failures, peerAge, sourceAge int
+		var fleet, failures, within int
 		var random float64
 		d.MaybeScanArgs(t, "fleet", &fleet)
 		d.MaybeScanArgs(t, "failures", &failures)
-		d.MaybeScanArgs(t, "peer-age", &peerAge)
-		d.MaybeScanArgs(t, "source-age", &sourceAge)
+		var followAge string
+		s.Rank = -1
+		d.MaybeScanArgs(t, "rank", &s.Rank)
+		d.MaybeScanArgs(t, "within", &within)
+		if d.MaybeScanArgs(t, "follow-age", &followAge); followAge != "" {
+			var e error
+			if s.FollowAge, e = time.ParseDuration(followAge); e != nil {
+				d.Fatalf(t, "%v", e)
+			}
+		}
 		d.MaybeScanArgs(t, "has-version", &s.HasVersion)
 		d.MaybeScanArgs(t, "reader", &s.IsReader)
 		d.MaybeScanArgs(t, "random", &random)
 		s.FleetSize, s.Failures = fleet, failures
-		s.PeerAge, s.SourceAge = time.Duration(peerAge)*time.Second, time.Duration(sourceAge)*time.Second
+		s.Apply = configservice.NewApplyPlan(time.Duration(within) * time.Second)
 		d.MaybeScanArgs(t, "has-list", &s.HasInstanceList)
 		var revoke, age int
 		d.MaybeScanArgs(t, "revoke", &revoke)
--- a/internal/policy/configservice/proofsources.go
+++ b/internal/policy/configservice/proofsources.go
@@ -48,7 +48,8 @@
 
 // parents returns the daemons of the own data centre to ask, by the ranking a in which this
 // daemon has the index k. The readers answer the first daemons in it; those behind ask
-// daemons before them, so that nobody answers more than proofFanOut.
+// daemons before them, so that nobody answers more than proofFanOut. The standbys, which
+// step in for the readers, are asked after them.
 func (s *ProofSources) parents(a []lavenderridge.InstanceID, k int) []lavenderridge.InstanceID {
 	r := slices.Clone(a[:min(len(a), readersPerDataCentre)])
 	if k%2 == 1 {
@@ -57,7 +58,7 @@
 	if g := k - readersPerDataCentre*(1+proofFanOut); g >= 0 {
 		r = append([]lavenderridge.InstanceID{a[readersPerDataCentre+g/proofFanOut]}, r...)
 	}
-	return r
+	return append(r, a[min(len(a), readersPerDataCentre):min(len(a), readersPerDataCentre+standbysPerDataCentre)]...)
 }
 
 // remoteReaders returns the readers of the other data centres, from a different one on for
--- a/internal/policy/configservice/readers.go
+++ b/internal/policy/configservice/readers.go
@@ -19,6 +19,17 @@
 	return a[:min(len(a), readersPerDataCentre)]
 }
 
+// ReaderRank returns the rank of the instance n among those of the data centre d, from
+// zero, or a negative number. The readers come first, and then those that step in first.
+func ReaderRank(l *lavenderridge.InstanceList, c *lavenderridge.Catalogue, d lavenderridge.DataCentreID, n lavenderridge.InstanceID) int {
+	return slices.Index(rankReaders(l, c, d), n)
+}
+
+// IsReader reports whether an instance with the rank r is a reader.
+func IsReader(r int) bool {
+	return r >= 0 && r < readersPerDataCentre
+}
+
 // rankReaders returns the live instances of the data centre d, in the order of the
 // hashes of their IDs (rendezvous hashing). Daemons with different lists may rank
 // differently, which only causes additional calls. Instances of a service that the
--- a/internal/policy/configservice/readplan.go
+++ b/internal/policy/configservice/readplan.go
@@ -21,12 +21,6 @@
 	// lengths, from half of this, keep their later ones apart, so that half-open
 	// connections delay only some.
 	watchWait = 3 * time.Second
-	// maxPeerAge is the time without a message from any neighbour after which a
-	// daemon reads the source itself.
-	maxPeerAge = 4 * time.Second
-	// maxSourceAge is the age of the fleet's last contact with the source from
-	// which on every daemon reads it.
-	maxSourceAge = 30 * time.Second
 	// peerGrace delays the first read of a document, so that neighbours can
 	// deliver a version before it.
 	peerGrace = time.Second
@@ -72,9 +66,16 @@
 	if s.IsReader {
 		return ReadPlan{Delay: backoff(s.Failures, r), Wait: scale(s.Revocation.watchWait(watchWait), (1+r)/2)}
 	}
-	if s.HasVersion && s.PeerAge < maxPeerAge && s.SourceAge < maxSourceAge && !s.Revocation.readsSource(s.CatalogueAge) {
+	if !s.stepsIn() {
 		return ReadPlan{Skip: true}
 	}
+	if s.HasVersion && s.Failures == 0 && !s.Revocation.readsSource(s.CatalogueAge) {
+		w := s.Apply.stepInWindow()
+		if !isStandby(s.Rank) {
+			w = max(w, 2*fleetInterval(s.FleetSize))
+		}
+		return ReadPlan{Delay: scale(w, r), Wait: scale(s.Revocation.watchWait(watchWait), (1+r)/2)}
+	}
 	p := ReadPlan{Delay: scale(s.Revocation.readWindow(s), r)}
 	if !s.HasVersion {
 		p.Delay += peerGrace
--- a/internal/policy/configservice/sourcecontact.go
+++ b/internal/policy/configservice/sourcecontact.go
@@ -18,6 +18,20 @@
 	any atomic.Int64
 	// era is that of the latest response to this daemon.
 	era atomic.Uint64
+	// followsUntil is the time up to which this daemon follows the source, in nanoseconds
+	// since base, or zero.
+	followsUntil atomic.Int64
+	// callUntil is when the wait of the latest call is over, in nanoseconds since base, and
+	// failed whether it failed.
+	callUntil atomic.Int64
+	failed    atomic.Bool
+	heard     atomic.Pointer[heardFollowing]
+}
+
+// heardFollowing is what another daemon said about one that followed the source at a time.
+type heardFollowing struct {
+	by lavenderridge.InstanceID
+	at time.Time
 }
 
 // NewSourceContact returns a contact without any response. Until the first one,
@@ -52,6 +66,63 @@
 	}
 }
 
+// CallBegun records a call at the time t that the source answers at a change, or after the
+// time w. It counts only if the source responded to the call before.
+func (s *SourceContact) CallBegun(t time.Time, w time.Duration) {
+	u := int64(t.Add(w).Sub(s.base))
+	s.callUntil.Store(u)
+	if s.own.Load() > 0 && !s.failed.Load() {
+		s.followsUntil.Store(u)
+	}
+}
+
+// CallEnded records the end of that call at the time t, with the error e if it failed. A
+// call that fails within its wait was cut then; one that gets no response proves nothing.
+func (s *SourceContact) CallEnded(t time.Time, e error) {
+	n := max(int64(t.Sub(s.base)), 1)
+	o := s.failed.Swap(e != nil)
+	switch {
+	case e == nil:
+		s.followsUntil.Store(n)
+	case !o && n < s.callUntil.Load():
+		s.followsUntil.Store(n)
+	default:
+		s.followsUntil.Store(s.own.Load())
+	}
+}
+
+// PeerFollows records what the reply f to a call that began at the time t says about
+// another daemon.
+func (s *SourceContact) PeerFollows(f lavenderridge.Following, t time.Time) {
+	n := &heardFollowing{by: f.By, at: t.Add(-max(f.Age, 0))}
+	for o := s.heard.Load(); o == nil || o.at.Before(n.at); o = s.heard.Load() {
+		if s.heard.CompareAndSwap(o, n) {
+			return
+		}
+	}
+}
+
+// HeardFollowing returns the latest time at which another daemon is known to have followed
+// the source, or the zero time.
+func (s *SourceContact) HeardFollowing() time.Time {
+	if h := s.heard.Load(); h != nil {
+		return h.at
+	}
+	return time.Time{}
+}
+
+// Following returns what the daemon of the instance n tells others at the time t.
+func (s *SourceContact) Following(n lavenderridge.InstanceID, t time.Time) lavenderridge.Following {
+	f := lavenderridge.Following{}
+	if v := s.followsUntil.Load(); v > 0 {
+		f = lavenderridge.Following{By: n, Age: max(t.Sub(s.base)-time.Duration(v), 0)}
+	}
+	if h := s.heard.Load(); h != nil && (f.By == "" || t.Sub(h.at) < f.Age) {
+		f = lavenderridge.Following{By: h.by, Age: max(t.Sub(h.at), 0)}
+	}
+	return f
+}
+
 // Age returns the time since the source last responded to any daemon.
 func (s *SourceContact) Age(t time.Time) time.Duration {
 	return t.Sub(s.base) - time.Duration(s.any.Load())
--- a/internal/policy/peer/neighbourhood.go
+++ b/internal/policy/peer/neighbourhood.go
@@ -191,19 +191,6 @@
 	return h.reachable(t)
 }
 
-// LastMessage returns when the last message of a listed daemon arrived.
-func (h *Neighbourhood) LastMessage() time.Time {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	var t time.Time
-	for _, v := range h.states {
-		if v.lastMessage.After(t) {
-			t = v.lastMessage
-		}
-	}
-	return t
-}
-
 // Neighbours returns the state of each neighbour at the time t, sorted by ID. It
 // includes preferred neighbours that are down.
 func (h *Neighbourhood) Neighbours(t time.Time) []lavenderridge.Neighbour {
--- a/internal/transport/peerhttp/body_test.go
+++ b/internal/transport/peerhttp/body_test.go
@@ -143,26 +143,33 @@
 	a.Close()
 }
 
-// exchangePeer remembers for how long it was asked to read.
-type exchangePeer struct {
+// followingPeer replies to exchanges with what it knows of who follows the source.
+type followingPeer struct {
 	lavenderridge.Peer
-	readFor time.Duration
+	following lavenderridge.Following
 }
 
-func (p *exchangePeer) Exchange(_ context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
-	p.readFor = q.ReadFor
-	return &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "b", DataCentre: "dc"}}, nil
+func (p *followingPeer) Exchange(context.Context, *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
+	return &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "b", DataCentre: "dc"}, Following: p.following}, nil
 }
 
-// TestReadRequestTravels guards against a request to read the source that is lost, since
-// it travels beside the message of an exchange.
-func TestReadRequestTravels(t *testing.T) {
-	p := &exchangePeer{}
+// TestFollowingTravels guards against word of who follows the source that is lost or too
+// young, since it travels beside the message of an exchange.
+func TestFollowingTravels(t *testing.T) {
+	p := &followingPeer{}
 	l, _ := newBodyPair(t, 0, p)
-	for _, d := range []time.Duration{0, 3 * time.Second} {
-		q := &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "a", DataCentre: "dc"}, ReadFor: d}
-		if _, e := l.Exchange(t.Context(), q); e != nil || p.readFor != d {
-			t.Errorf("asked to read for %s, error %v; want %s", p.readFor, e, d)
+	for _, v := range []struct{ sent, want lavenderridge.Following }{
+		{},
+		{sent: lavenderridge.Following{By: "c d"}, want: lavenderridge.Following{By: "c d"}},
+		{sent: lavenderridge.Following{By: "c", Age: 1500001 * time.Nanosecond}, want: lavenderridge.Following{By: "c", Age: 2 * time.Millisecond}},
+	} {
+		p.following = v.sent
+		q, e := l.Exchange(t.Context(), &lavenderridge.Exchange{Sender: lavenderridge.Sender{Instance: "a", DataCentre: "dc"}})
+		if e != nil {
+			t.Fatal(e)
+		}
+		if q.Following != v.want {
+			t.Errorf("sent %+v, received %+v; want %+v", v.sent, q.Following, v.want)
 		}
 	}
 }
--- a/internal/transport/peerhttp/frame.go
+++ b/internal/transport/peerhttp/frame.go
@@ -17,9 +17,10 @@
 	// in bytes. In a request, it also says that the sender understands such a reply.
 	// Daemons of earlier versions neither send nor read it.
 	bodyField = "Lavenderridge-Body"
-	// readField is the header field with the time for which the sender of an exchange asks
-	// the receiver to read the source. Daemons of earlier versions ignore it.
-	readField = "Lavenderridge-Read-For"
+	// followingField is the header field of the reply to an exchange with the instance
+	// that followed the source, and how long ago in milliseconds, rounded up. Daemons of
+	// earlier versions neither send nor read it.
+	followingField = "Lavenderridge-Following"
 	// proofField is the header field of the reply to an exchange with the sender's proof of
 	// its catalogue: the version and the age in milliseconds, rounded up. Daemons of
 	// earlier versions neither send nor read it.
@@ -53,10 +54,8 @@
 	heard string
 	// customer is the text of customerField.
 	customer string
-	// readFor is the time in readField.
-	readFor time.Duration
-	// proof is the text of proofField.
-	proof string
+	// proof is the text of proofField, and following that of followingField.
+	proof, following string
 }
 
 // size returns the size in bytes on the wire.
@@ -75,20 +74,6 @@
 	return []string{strconv.Itoa(n)}
 }
 
-// readForKey is the context key of the text of readField in a call.
-type readForKey struct{}
-
-// readFor returns the time for which the sender of the call of the context c asks this
-// daemon to read the source, or zero.
-func readFor(c context.Context) time.Duration {
-	s, _ := c.Value(readForKey{}).(string)
-	d, e := time.ParseDuration(s)
-	if e != nil {
-		return 0
-	}
-	return max(d, 0)
-}
-
 // bodySize returns the size of the body that follows the message, by the header h of a
 // message of n bytes in all. It reports false if the header has no such size.
 func bodySize(h http.Header, n int64) (int64, bool, error) {
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -62,11 +62,11 @@
 // Exchange implements lavenderridge.Peer.
 func (l *link) Exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
 	var v lavenderridge.Exchange
-	p, e := l.callFramed(c, kindExchange, q, &v, &frame{readFor: q.ReadFor})
+	p, e := l.callFramed(c, kindExchange, q, &v, &frame{})
 	if e != nil {
 		return nil, e
 	}
-	v.Proof = decodeProof(p.proof)
+	v.Proof, v.Following = decodeProof(p.proof), decodeFollowing(p.following)
 	return &v, nil
 }
 
@@ -160,9 +160,6 @@
 	if f.customer != "" {
 		q.Header.Set(customerField, f.customer)
 	}
-	if f.readFor > 0 {
-		q.Header.Set(readField, f.readFor.String())
-	}
 	if k == kindHandle {
 		q.Header[bodyField] = bodySizeField(len(f.body))
 	}
@@ -193,7 +190,7 @@
 	}
 	f, e := receiveFrame(p.Body, p.ContentLength, b, l.transport.maxMessage, unbounded)
 	if e == nil && k == kindExchange {
-		f.proof = p.Header.Get(proofField)
+		f.proof, f.following = p.Header.Get(proofField), p.Header.Get(followingField)
 	}
 	return f, e
 }
--- a/internal/transport/peerhttp/server.go
+++ b/internal/transport/peerhttp/server.go
@@ -225,9 +225,6 @@
 	if h := q.Header.Get(customerField); h != "" {
 		c = context.WithValue(c, customerTextKey{}, h)
 	}
-	if h := q.Header.Get(readField); h != "" {
-		c = context.WithValue(c, readForKey{}, h)
-	}
 	p, v, e := s.handleMessage(c, f, o, i)
 	defer func() { s.onSent(v) }()
 	if e != nil {
@@ -246,6 +243,9 @@
 	if f.proof != "" {
 		w.Header().Set(proofField, f.proof)
 	}
+	if f.following != "" {
+		w.Header().Set(followingField, f.following)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(f.size()))
 	if len(f.body) > 0 {
 		w.Header().Set(bodyField, strconv.Itoa(len(f.body)))
@@ -272,7 +272,7 @@
 		}
 	}
 	if x, k := v.(*lavenderridge.Exchange); k {
-		p.proof = encodeProof(x.Proof)
+		p.proof, p.following = encodeProof(x.Proof), encodeFollowing(x.Following)
 	}
 	p.message, e = encode(byte(statusReply), v)
 	return p, n, e
@@ -295,7 +295,7 @@
 	case kindHandle:
 		return s.handleRequest(c, b, f.body, i)
 	case kindExchange:
-		return callPeer(c, b, i, s.exchange, func(q *lavenderridge.Exchange) *lavenderridge.Sender { return &q.Sender })
+		return callPeer(c, b, i, s.peer.Exchange, func(q *lavenderridge.Exchange) *lavenderridge.Sender { return &q.Sender })
 	case kindPull:
 		return callPeer(c, b, i, s.peer.Pull, func(q *lavenderridge.PullRequest) *lavenderridge.Sender { return &q.Sender })
 	case kindActivate:
@@ -337,12 +337,6 @@
 	return newWireResponse(p), nil
 }
 
-// exchange passes the exchange q on with what travels beside its message.
-func (s *Server) exchange(c context.Context, q *lavenderridge.Exchange) (*lavenderridge.Exchange, error) {
-	q.ReadFor = readFor(c)
-	return s.peer.Exchange(c, q)
-}
-
 // callPeer decodes a Q from b and passes it to f if its sender, which s returns, is
 // the daemon i.
 func callPeer[Q, V any](c context.Context, b []byte, i peertls.Identity, f func(context.Context, *Q) (*V, error), s func(*Q) *lavenderridge.Sender) (any, error) {
