Bound what a backend server gets until it shows that it is still warm

Cause: warm was assumed until the instance list or a check after a sign of a restart said otherwise. Without a restart there is no sign, and the list is a heartbeat late. Ruled out: the limiter itself, which kept the rate from the moment at which it knew.

Since the latest question that the health endpoint answered as warm, a backend server now gets at most a cold one's rate in any second. At 0.7 of that the daemon asks again, over a kept connection, and with a new one if that fails. Two connections are reserved for health checks in place of one.

--- a/backendserver.go
+++ b/backendserver.go
@@ -8,6 +8,9 @@
 	// Probe queries the backend server's health endpoint. The response may be
 	// out of date.
 	Probe(c context.Context) (Health, error)
+	// Recheck is like Probe, but may use a connection that is open already. Its failure
+	// says nothing about the backend server.
+	Recheck(c context.Context) (Health, error)
 	// Close closes idle connections.
 	Close() error
 }
--- a/internal/daemon/backendserver/crashcheck.go
+++ b/internal/daemon/backendserver/crashcheck.go
@@ -54,9 +54,14 @@
 
 // probe returns the response of the health endpoint, or nil and an error.
 func (h *OwnerHandler) probe(c context.Context) (*lavenderridge.Health, error) {
-	c, f := context.WithTimeout(c, probeTimeout)
-	defer f()
-	p, e := h.backend.Probe(c)
+	return h.probeWith(c, h.backend.Probe)
+}
+
+// probeWith is like probe, with the call f.
+func (h *OwnerHandler) probeWith(c context.Context, f func(context.Context) (lavenderridge.Health, error)) (*lavenderridge.Health, error) {
+	c, x := context.WithTimeout(c, probeTimeout)
+	defer x()
+	p, e := f(c)
 	if isUnreachable(e) {
 		h.runEnded.Store(true)
 	}
--- a/internal/daemon/backendserver/listedcapacity.go
+++ b/internal/daemon/backendserver/listedcapacity.go
@@ -150,7 +150,7 @@
 		return nil
 	}
 	if w := h.cold.Wait(h.listed.coldRate(v), h.coldStartPriority(r), t); w > 0 {
-		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
+		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold or may be", w)
 	}
 	if h.busy(v, t) && !h.listed.throttle.Admit(r.Entry, t) {
 		return h.notRun(lavenderridge.ReasonOverloaded, "many requests of this entry fail at the backend server", failingRetryAfter)
@@ -220,7 +220,12 @@
 	if h.listed == nil {
 		return nil
 	}
-	if w := h.cold.Enter(h.listed.coldRate(v), h.coldStartPriority(r), t); w > 0 {
+	a := h.listed.coldRate(v)
+	w := h.cold.Enter(a, h.coldStartPriority(r), t)
+	if h.cold.ProofDue(a, t) {
+		h.wakeCheck()
+	}
+	if w > 0 {
 		return h.notRun(lavenderridge.ReasonOverloaded, "the backend server is cold", w)
 	}
 	return nil
@@ -245,6 +250,11 @@
 	if h.cold.MarkUnconfirmed() {
 		h.record("BackendDoubted", "the backend server may have restarted", h.clock.Now())
 	}
+	h.wakeCheck()
+}
+
+// wakeCheck makes runListed check the health of the backend server at once.
+func (h *OwnerHandler) wakeCheck() {
 	select {
 	case h.unconfirmed <- struct{}{}:
 	default:
@@ -252,12 +262,17 @@
 }
 
 // runListed applies changes of this instance's listing, and checks the health of
-// the backend server while it is unconfirmed, until c ends.
+// the backend server while it is unconfirmed or due to be proved warm, until c ends.
 func (h *OwnerHandler) runListed(c context.Context) error {
 	for c.Err() == nil {
 		h.CheckListing()
-		if h.cold.Unconfirmed() {
-			h.confirm(c)
+		switch {
+		case h.cold.Unconfirmed():
+			h.confirm(c, h.backend.Probe)
+		case h.cold.ProofDue(h.ownColdRate(), h.clock.Now()):
+			if !h.confirm(c, h.backend.Recheck) {
+				h.confirm(c, h.backend.Probe)
+			}
 		}
 		h.checkLeaving(c)
 		k := time.NewTimer(confirmPeriod)
@@ -287,12 +302,22 @@
 	h.cold.ListReported(n.ColdLeft, t)
 }
 
-// confirm queries the health endpoint for how long the backend server stays cold.
-// If it does not respond, the backend server stays unconfirmed.
-func (h *OwnerHandler) confirm(c context.Context) {
-	p, e := h.probe(c)
+// ownColdRate returns the rate limit of the backend server when it is cold, or zero if it
+// is unknown.
+func (h *OwnerHandler) ownColdRate() lavenderridge.Rate {
+	if o := h.listed.effective.Load(); o != nil {
+		return h.listed.coldRate(&o.service)
+	}
+	return 0
+}
+
+// confirm queries the health endpoint with f for how long the backend server stays cold.
+// If it does not respond, the backend server stays as it is, and confirm reports false.
+func (h *OwnerHandler) confirm(c context.Context, f func(context.Context) (lavenderridge.Health, error)) bool {
+	a, u := h.clock.Now(), h.cold.Unconfirmed()
+	p, e := h.probeWith(c, f)
 	if e != nil {
-		return
+		return false
 	}
 	t := h.clock.Now()
 	// The start time b follows from the remaining cold time. It stays zero, long
@@ -303,7 +328,10 @@
 			b = t.Add(p.Cold - v.ColdStart)
 		}
 	}
-	h.cold.HealthReported(p.Cold, b, t)
+	h.cold.HealthReported(p.Cold, b, a, t)
 	h.hearHealth(p, t)
-	h.record("BackendTold", "cold for "+p.Cold.String(), t)
+	if u || p.Cold > 0 {
+		h.record("BackendTold", "cold for "+p.Cold.String(), t)
+	}
+	return true
 }
--- a/internal/daemon/backendserver/ownerhandler_test.go
+++ b/internal/daemon/backendserver/ownerhandler_test.go
@@ -21,6 +21,10 @@
 	return lavenderridge.Health{}, nil
 }
 
+func (a *immediateServer) Recheck(c context.Context) (lavenderridge.Health, error) {
+	return a.Probe(c)
+}
+
 func (a *immediateServer) Close() error { return nil }
 
 // BenchmarkOwnerHandler measures the time that the handler adds to a request.
--- a/internal/daemon/backendserver/session_test.go
+++ b/internal/daemon/backendserver/session_test.go
@@ -79,6 +79,8 @@
 	return s.health, nil
 }
 
+func (s *session) Recheck(c context.Context) (lavenderridge.Health, error) { return s.Probe(c) }
+
 func (s *session) Close() error { return nil }
 
 func (s *session) Handle(c context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
--- a/internal/daemon/backendserver/uplink_test.go
+++ b/internal/daemon/backendserver/uplink_test.go
@@ -21,6 +21,8 @@
 	return lavenderridge.Health{Ready: true}, nil
 }
 
+func (b bodyServer) Recheck(c context.Context) (lavenderridge.Health, error) { return b.Probe(c) }
+
 func (bodyServer) Close() error { return nil }
 
 // TestLinkAdmission checks that the owner refuses a request whose large response
--- a/internal/policy/backendserver/coldstartlimiter.go
+++ b/internal/policy/backendserver/coldstartlimiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// busyShare is the share of the rate from which a cold backend server
 	// counts as busy.
 	busyShare = 0.7
+	// proofShare is the share of the rate, as requests sent since the latest proof that the
+	// backend server is warm, from which on another proof is due.
+	proofShare = 0.7
 	// lowPriorityDivisor sets the share of the rate, one tenth, that is not
 	// reserved for higher priorities.
 	lowPriorityDivisor = 10
@@ -34,10 +38,16 @@
 // receives in any second. A backend server that may have restarted is
 // unconfirmed: it counts as cold until its health endpoint reports for how
 // long it stays cold.
+//
+// A backend server may also turn cold without a restart, and nothing tells that before its
+// health endpoint is asked. Therefore no more requests than a cold one takes are sent in
+// any second after the latest question that it answered as warm.
 type ColdStartLimiter struct {
 	mutex       sync.Mutex
 	coldUntil   time.Time
 	unconfirmed bool
+	// warmAt is when the latest question was sent that showed the backend server warm.
+	warmAt time.Time
 	// admitted holds the requests of the last coldWindow that were sent, and
 	// requested those for which Wait was called.
 	admitted, requested []coldRequest
@@ -70,14 +80,17 @@
 	return !o
 }
 
-// HealthReported records a report of the health endpoint, received at t: the
+// HealthReported records a report of the health endpoint, asked at a and received at t: the
 // backend server started at b and stays cold for d. If it started no earlier
 // than this daemon process, an earlier process cannot have sent it any
 // requests, so requests are admitted without waiting for blockedUntil.
-func (g *ColdStartLimiter) HealthReported(d time.Duration, b, t time.Time) {
+func (g *ColdStartLimiter) HealthReported(d time.Duration, b, a, t time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.unconfirmed, g.coldUntil = false, t.Add(d)
+	if d == 0 && a.After(g.warmAt) {
+		g.warmAt = a
+	}
 	if b.After(g.blockedUntil.Add(-coldWindow - startTolerance)) {
 		g.blockedUntil = time.Time{}
 	}
@@ -113,6 +126,21 @@
 	return g.unconfirmed || t.Before(g.coldUntil)
 }
 
+// ProofDue reports whether the health endpoint should be asked at the time t, because a
+// backend server with the rate r might have turned cold and soon get too many requests.
+func (g *ColdStartLimiter) ProofDue(r lavenderridge.Rate, t time.Time) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return r > 0 && !g.cold(t) && float64(g.unproven(t)) >= proofShare*math.Floor(float64(r))
+}
+
+// unproven returns the number of requests of the last window that were sent since the
+// backend server is known to have been warm.
+func (g *ColdStartLimiter) unproven(t time.Time) int {
+	g.admitted = dropExpired(g.admitted, t)
+	return len(g.admitted) - sort.Search(len(g.admitted), func(i int) bool { return !g.admitted[i].time.Before(g.warmAt) })
+}
+
 // Busy reports whether a cold backend server has used up most of its rate r at
 // the time t.
 func (g *ColdStartLimiter) Busy(r lavenderridge.Rate, t time.Time) bool {
@@ -129,9 +157,12 @@
 func (g *ColdStartLimiter) Wait(r lavenderridge.Rate, k ColdStartPriority, t time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if r <= 0 || !g.cold(t) {
+	if r <= 0 {
 		return 0
 	}
+	if !g.cold(t) {
+		return g.proofWait(r, t)
+	}
 	g.requested = append(dropExpired(g.requested, t), coldRequest{time: t, ColdStartPriority: k})
 	return g.requiredWait(r, k, t)
 }
@@ -141,8 +172,12 @@
 func (g *ColdStartLimiter) Enter(r lavenderridge.Rate, k ColdStartPriority, t time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if r > 0 && g.cold(t) {
-		if d := g.requiredWait(r, k, t); d > 0 {
+	if r > 0 {
+		d := g.proofWait(r, t)
+		if g.cold(t) {
+			d = g.requiredWait(r, k, t)
+		}
+		if d > 0 {
 			return d
 		}
 	}
@@ -150,6 +185,20 @@
 	return 0
 }
 
+// proofWait returns how long a request to a backend server that counts as warm has to wait
+// until it is known to be warm still.
+func (g *ColdStartLimiter) proofWait(r lavenderridge.Rate, t time.Time) time.Duration {
+	if g.unproven(t) < maxInWindow(r) {
+		return 0
+	}
+	return unconfirmedRetry
+}
+
+// maxInWindow returns the number of requests in a window at the rate r.
+func maxInWindow(r lavenderridge.Rate) int {
+	return max(1, int(math.Floor(float64(r))))
+}
+
 // requiredWait returns how long a request of the priority k has to wait, given
 // the requests of the last window.
 func (g *ColdStartLimiter) requiredWait(r lavenderridge.Rate, k ColdStartPriority, t time.Time) time.Duration {
@@ -157,7 +206,7 @@
 		return max(g.blockedUntil.Sub(t), unconfirmedRetry)
 	}
 	g.admitted, g.requested = dropExpired(g.admitted, t), dropExpired(g.requested, t)
-	n := max(1, int(math.Floor(float64(r))))
+	n := maxInWindow(r)
 	if len(g.admitted) >= n {
 		return g.admitted[len(g.admitted)-n].time.Add(coldWindow).Sub(t)
 	}
--- a/internal/policy/backendserver/coldstartlimiter_test.go
+++ b/internal/policy/backendserver/coldstartlimiter_test.go
@@ -43,7 +43,7 @@
 			},
 			"report": func(t *rapid.T) {
 				c := time.Duration(rapid.IntRange(0, 2).Draw(t, "cold")) * 500 * time.Millisecond
-				g.HealthReported(c, time.Time{}, n)
+				g.HealthReported(c, time.Time{}, n, n)
 				warm = c == 0
 			},
 			"backendRestart": func(*rapid.T) {
@@ -108,9 +108,92 @@
 	k := backendserver.ColdStartPriority{Class: lavenderridge.ClassNormal}
 	for b, w := range map[time.Duration]bool{-100 * time.Millisecond: true, -2 * time.Second: false} {
 		g := backendserver.NewColdStartLimiter(n)
-		g.HealthReported(2*time.Second, n.Add(b), n)
+		g.HealthReported(2*time.Second, n.Add(b), n, n)
 		if o := g.Enter(5, k, n.Add(50*time.Millisecond)) == 0; o != w {
 			t.Errorf("started %s before the daemon: admitted %t; want %t", -b, o, w)
 		}
 	}
 }
+
+// TestSilentCold guards against a backend server that turns cold without a restart and gets
+// the full rate until it says so: it gets no more than its rate in any second, however late
+// the answers of its health endpoint are.
+func TestSilentCold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate = 7
+		n := time.Unix(1000, 0)
+		g := backendserver.NewColdStartLimiter(n.Add(-time.Minute))
+		g.HealthReported(0, time.Time{}, n, n)
+		k := backendserver.ColdStartPriority{Class: lavenderridge.ClassNormal}
+		var cold, asked, answered time.Time // cold ends at that time
+		var sent []time.Time                // while the backend server is cold
+		var left time.Duration              // the answer
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(*rapid.T) {
+				if g.Wait(rate, k, n) == 0 && g.Enter(rate, k, n) == 0 && n.Before(cold) {
+					sent = append(sent, n)
+				}
+			},
+			"time": func(t *rapid.T) { n = n.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond) },
+			"turnCold": func(*rapid.T) {
+				cold, sent = n.Add(3*time.Second), nil
+			},
+			"ask": func(*rapid.T) {
+				if g.ProofDue(rate, n) && asked.IsZero() {
+					asked = n
+				}
+			},
+			"respond": func(*rapid.T) {
+				if !asked.IsZero() && answered.IsZero() {
+					answered, left = n, max(cold.Sub(n), 0)
+				}
+			},
+			"receive": func(*rapid.T) {
+				if !answered.IsZero() {
+					g.HealthReported(max(left-n.Sub(answered), 0), time.Time{}, asked, n)
+					asked, answered = time.Time{}, time.Time{}
+				}
+			},
+			"": func(t *rapid.T) {
+				c := 0
+				for _, s := range sent {
+					if n.Sub(s) < time.Second {
+						c++
+					}
+				}
+				if c > rate {
+					t.Fatalf("%d requests within one second; want at most %d", c, rate)
+				}
+			},
+		})
+	})
+}
+
+// TestWarmRate guards against a limiter that slows down a backend server which shows that
+// it is warm.
+func TestWarmRate(t *testing.T) {
+	const rate = 24
+	n := time.Unix(1000, 0)
+	g := backendserver.NewColdStartLimiter(n.Add(-time.Minute))
+	g.HealthReported(0, time.Time{}, n, n)
+	var due time.Time
+	checks := 0
+	for i := range 700 { // 70 a second
+		n = n.Add(time.Second / 70)
+		k := backendserver.ColdStartPriority{Class: lavenderridge.Class(1 + i%4)}
+		if g.Wait(rate, k, n) > 0 || g.Enter(rate, k, n) > 0 {
+			t.Fatalf("request %d is refused", i)
+		}
+		if due.IsZero() && g.ProofDue(rate, n) {
+			due = n
+		}
+		if !due.IsZero() && n.Sub(due) >= 80*time.Millisecond {
+			g.HealthReported(0, time.Time{}, due, n)
+			due = time.Time{}
+			checks++
+		}
+	}
+	if checks > 50 {
+		t.Errorf("%d health checks in 10 s; want at most 50", checks)
+	}
+}
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -26,13 +26,16 @@
 	maxStatus                  = 999
 	defaultUnresponsiveTimeout = time.Second
 	probeTimeout               = 500 * time.Millisecond
+	// reservedConnections are for health checks.
+	reservedConnections = 2
 )
 
 // errTarget is the error for a request target that can't be sent unchanged.
 var errTarget = errors.New("backendhttp: a path with two slashes at its beginning has characters that must be escaped")
 
-// A Client sends requests to one backend server. It reserves one of its
-// connections for health checks, each of which opens a new connection.
+// A Client sends requests to one backend server. It reserves two of its
+// connections, if it has more, for health checks: one that is kept, and one for those that
+// must open a new connection.
 type Client struct {
 	address             lavenderridge.Address
 	connections         lavenderridge.Connections
@@ -40,7 +43,8 @@
 	unresponsiveTimeout time.Duration
 	dialer              *dialer
 	pool                atomic.Pointer[pool]
-	healthPool          *pool
+	// healthPool opens a connection for each health check, and recheckPool keeps one.
+	healthPool, recheckPool *pool
 	// repeatPool opens a connection for each request. It is for requests that the
 	// backend server has refused before, which are in refused.
 	repeatPool *pool
@@ -65,7 +69,7 @@
 		f(l)
 	}
 	c = context.WithoutCancel(c)
-	l.newPool = func() (*pool, error) { return newPool(c, l.dialer, max(1, int(n)-1), true) }
+	l.newPool = func() (*pool, error) { return newPool(c, l.dialer, max(1, int(n)-reservedConnections), true) }
 	p, e := l.newPool()
 	if e != nil {
 		return nil, e
@@ -74,7 +78,10 @@
 	if l.healthPool, e = newPool(c, l.dialer, 1, false); e != nil {
 		return nil, e
 	}
-	l.repeatPool, e = newPool(c, l.dialer, max(1, int(n)-1), false)
+	if l.recheckPool, e = newPool(c, l.dialer, 1, true); e != nil {
+		return nil, e
+	}
+	l.repeatPool, e = newPool(c, l.dialer, max(1, int(n)-reservedConnections), false)
 	return l, e
 }
 
@@ -307,6 +314,20 @@
 // error is a Refusal with the reason Unreachable if the connection fails to
 // open for another reason than a timeout.
 func (l *Client) Probe(c context.Context) (lavenderridge.Health, error) {
+	return l.probe(c, l.healthPool)
+}
+
+// Recheck implements lavenderridge.BackendServer.
+func (l *Client) Recheck(c context.Context) (lavenderridge.Health, error) {
+	h, e := l.probe(c, l.recheckPool)
+	if e != nil {
+		return h, fmt.Errorf("backendhttp: recheck: %w", e)
+	}
+	return h, nil
+}
+
+// probe queries the health endpoint over a connection of the pool o.
+func (l *Client) probe(c context.Context, o *pool) (lavenderridge.Health, error) {
 	var h lavenderridge.Health
 	c, f := (&sendTracker{}).begin(c)
 	defer f()
@@ -314,7 +335,7 @@
 	if e != nil {
 		return h, fmt.Errorf("backendhttp: probe: %w", e)
 	}
-	p, e := l.healthPool.http.Do(q)
+	p, e := o.http.Do(q)
 	if e != nil {
 		return h, probeError(c, e)
 	}
@@ -347,5 +368,5 @@
 
 // Close implements lavenderridge.BackendServer.
 func (l *Client) Close() error {
-	return errors.Join(l.pool.Load().close(), l.healthPool.close(), l.repeatPool.close())
+	return errors.Join(l.pool.Load().close(), l.healthPool.close(), l.recheckPool.close(), l.repeatPool.close())
 }
