Refuse responses whose status ends no request

Cause: the check allowed whatever can be written, 100 to 999. The HTTP library handles the other interim responses by itself and returns 101 with the connection as its body.

IsFinalStatus allows 200 to 599, for responses of backend servers and of other daemons, and refuses the rest with an unknown outcome (502). TestOnlyFinalStatuses fails on the old code ("101" in place of a refusal) and passes now; TestRemoteStatuses tests other daemons.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -23,7 +23,6 @@
 const (
 	defaultHealthPath          = "/healthz"
 	maxHealthBody              = 64 << 10 // bytes
-	maxStatus                  = 999
 	defaultUnresponsiveTimeout = time.Second
 	probeTimeout               = 500 * time.Millisecond
 	// reservedConnections are for health checks.
@@ -125,8 +124,8 @@
 	if !l.protocol.Matches(r, h) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response is for another request")
 	}
-	if p.StatusCode < http.StatusContinue || p.StatusCode > maxStatus {
-		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Sprintf("%d is no status", p.StatusCode))
+	if !lavenderridge.IsFinalStatus(p.StatusCode) {
+		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Sprintf("the status %d ends no request", p.StatusCode))
 	}
 	n, o := l.protocol.NotRun(p.StatusCode, h)
 	if n != lavenderridge.ReasonWrongTarget {
--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -17,6 +17,8 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/cockroachdb/datadriven"
+
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/policy/operator"
 	"github.com/lavenderridge/lavenderridge/internal/standin/backendserver"
@@ -494,3 +496,31 @@
 	}
 	t.Logf("%d refused as not run, %d ran", len(notRun), len(s.RunCounts()))
 }
+
+// TestOnlyFinalStatuses guards against a response whose status ends no request, such as an
+// unasked switch of protocols, that reaches the caller and leaves its connection without a
+// response.
+func TestOnlyFinalStatuses(t *testing.T) {
+	datadriven.RunTest(t, "testdata/statuses", func(t *testing.T, d *datadriven.TestData) string {
+		head := strings.ReplaceAll(d.Input, "\n", "\r\n")
+		s := newRawServer(t, func(i int64, c net.Conn, _ *http.Request) bool {
+			if i > 1 {
+				head = "HTTP/1.1 200 OK"
+			}
+			_, _ = io.WriteString(c, head+"\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		})
+		b := newClient(t, s.address(), 10)
+		describe := func() string {
+			c, f := context.WithTimeout(t.Context(), 5*time.Second)
+			defer f()
+			p, e := b.Handle(c, request("GET", ""))
+			if e != nil {
+				r := lavenderridge.AsRefusal(e)
+				return fmt.Sprintf("%s %s", r.Reason, r.Outcome)
+			}
+			return fmt.Sprintf("%d %q", p.Status, p.Body)
+		}
+		return describe() + "\nnext: " + describe() + "\n"
+	})
+}
--- a/internal/transport/peerhttp/body_test.go
+++ b/internal/transport/peerhttp/body_test.go
@@ -174,6 +174,31 @@
 	}
 }
 
+// statusPeer responds with a status.
+type statusPeer struct {
+	lavenderridge.Peer
+	status int
+}
+
+func (p statusPeer) Handle(_ context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
+	return &lavenderridge.Response{ID: r.ID, Status: p.status}, nil
+}
+
+// TestRemoteStatuses guards against a status that ends no request and comes from a daemon
+// that doesn't check it.
+func TestRemoteStatuses(t *testing.T) {
+	for n, o := range map[int]bool{0: false, 101: false, 200: true, 599: true, 999: false} {
+		l, _ := newBodyPair(t, 0, statusPeer{status: n})
+		p, e := l.Handle(t.Context(), &lavenderridge.Request{ID: "1"})
+		switch {
+		case o && (e != nil || p.Status != n):
+			t.Errorf("status %d: %+v, %v", n, p, e)
+		case !o && (e == nil || lavenderridge.AsRefusal(e).Outcome != lavenderridge.OutcomeUnknown):
+			t.Errorf("status %d: %+v, %v; want a refusal with an unknown outcome", n, p, e)
+		}
+	}
+}
+
 // BenchmarkBody reports what one call with a body allocates, client and server together.
 func BenchmarkBody(b *testing.B) {
 	for _, n := range []lavenderridge.ByteCount{lavenderridge.Kibibyte, 64 * lavenderridge.Kibibyte, lavenderridge.Mebibyte, 8 * lavenderridge.Mebibyte, 64 * lavenderridge.Mebibyte} {
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -53,6 +53,9 @@
 	if e != nil {
 		return nil, e
 	}
+	if !lavenderridge.IsFinalStatus(v.Status) {
+		return nil, l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Errorf("peerhttp: the status %d ends no request", v.Status))
+	}
 	if len(p.body) > 0 {
 		v.Body = p.body
 	}
