Apply settings that change while the daemon starts

Cause: the watcher read the file once more when it was made and took its content as active, although the daemon had been built from an earlier one.

The watcher begins with the content that was loaded, and a check parses the content that it has compared in place of reading the file again.

--- a/internal/cmd/lavenderridge/servecmd.go
+++ b/internal/cmd/lavenderridge/servecmd.go
@@ -85,7 +85,7 @@
 		return e
 	}
 	g.Go(func() {
-		settings.NewWatcher(s.settingsFile, l, func(v *settings.Settings) bool { return d.Apply(v.Daemon) }).Run(x, h)
+		settings.NewWatcher(s.settingsFile, v, l, func(v *settings.Settings) bool { return d.Apply(v.Daemon) }).Run(x, h)
 	})
 	return d.Run(c)
 }
--- a/internal/cmd/settings/settings.go
+++ b/internal/cmd/settings/settings.go
@@ -93,23 +93,35 @@
 	ephemeral bool
 
 	reader *reader
+	// text is the content of the file from which the settings were read.
+	text []byte
 }
 
 // Load reads and checks the settings file p and the key files that it names. If
 // there are findings, the settings contain the values without faults; they are nil
 // if the file could not be read or decoded.
 func Load(p string) (*Settings, lavenderridge.Findings) {
-	i, e := os.Stat(p)
-	if e == nil && i.Size() > int64(maxFileSize) {
-		e = fmt.Errorf("larger than %d bytes", maxFileSize)
-	}
-	var b []byte
-	if e == nil {
-		b, e = os.ReadFile(p)
-	}
+	b, e := readFile(p)
 	if e != nil {
 		return nil, lavenderridge.Findings{{Place: p, Message: messageWithoutPath(e)}}
 	}
+	return load(p, b)
+}
+
+// readFile returns the content of the settings file p.
+func readFile(p string) ([]byte, error) {
+	i, e := os.Stat(p)
+	if e != nil {
+		return nil, e
+	}
+	if i.Size() > int64(maxFileSize) {
+		return nil, fmt.Errorf("larger than %d bytes", maxFileSize)
+	}
+	return os.ReadFile(p)
+}
+
+// load checks the content b of the settings file p as Load does.
+func load(p string, b []byte) (*Settings, lavenderridge.Findings) {
 	s, f := Parse(p, b)
 	if s == nil {
 		return nil, f
@@ -125,7 +137,7 @@
 	if r == nil {
 		return nil, f
 	}
-	s := &Settings{reader: r}
+	s := &Settings{reader: r, text: b}
 	s.read(r)
 	r.checkUnknown()
 	return s, r.sortedFindings()
--- a/internal/cmd/settings/watcher.go
+++ b/internal/cmd/settings/watcher.go
@@ -19,16 +19,14 @@
 	file  string
 	log   *zap.Logger
 	apply func(s *Settings) bool
-	seen  []byte // content of the file at the last check
+	seen  []byte // content of the file that was checked last
 }
 
-// NewWatcher returns a watcher of the file p, from which the active settings were
-// read. The function f applies other settings and reports whether they differ from
-// the active ones.
-func NewWatcher(p string, l *zap.Logger, f func(s *Settings) bool) *Watcher {
-	w := &Watcher{file: p, log: l, apply: f}
-	w.seen, _ = os.ReadFile(p)
-	return w
+// NewWatcher returns a watcher of the file p, from which the active settings s were
+// read. The file may have changed since. The function f applies other settings and reports
+// whether they differ from the active ones.
+func NewWatcher(p string, s *Settings, l *zap.Logger, f func(s *Settings) bool) *Watcher {
+	return &Watcher{file: p, log: l, apply: f, seen: s.text}
 }
 
 // Run checks the file at intervals of pollInterval and after each signal from h,
@@ -50,7 +48,7 @@
 
 // Check loads and applies the file if it has changed since the last check.
 func (w *Watcher) Check() {
-	b, e := os.ReadFile(w.file)
+	b, e := readFile(w.file)
 	if e != nil {
 		w.log.Error("SettingsRejected", zap.Error(e))
 		return
@@ -59,7 +57,7 @@
 		return
 	}
 	w.seen = b
-	s, f := Load(w.file)
+	s, f := load(w.file, b)
 	if len(f) > 0 {
 		w.log.Error("SettingsRejected", zap.Error(f))
 		return
--- a/internal/cmd/settings/watcher_test.go
+++ b/internal/cmd/settings/watcher_test.go
@@ -40,7 +40,11 @@
 	}
 	write(watched)
 	got := make(chan string, 10)
-	w := settings.NewWatcher(p, zap.NewNop(), func(s *settings.Settings) bool {
+	a, v := settings.Load(p)
+	if len(v) > 0 {
+		t.Fatal(v)
+	}
+	w := settings.NewWatcher(p, a, zap.NewNop(), func(s *settings.Settings) bool {
 		got <- string(s.Daemon.Service)
 		return true
 	})
@@ -67,3 +71,28 @@
 	write(strings.Replace(watched, `"roster"`, `"media"`, 1))
 	want("media")
 }
+
+// TestChangeDuringStart guards against a change of the settings that is never applied,
+// because it comes after they were read and before they are watched.
+func TestChangeDuringStart(t *testing.T) {
+	p := filepath.Join(t.TempDir(), "settings.toml")
+	if e := os.WriteFile(p, []byte(watched), 0o600); e != nil {
+		t.Fatal(e)
+	}
+	a, v := settings.Load(p)
+	if len(v) > 0 {
+		t.Fatal(v)
+	}
+	if e := os.WriteFile(p, []byte(strings.Replace(watched, `"roster"`, `"billing"`, 1)), 0o600); e != nil {
+		t.Fatal(e)
+	}
+	var got string
+	w := settings.NewWatcher(p, a, zap.NewNop(), func(s *settings.Settings) bool {
+		got = string(s.Daemon.Service)
+		return true
+	})
+	w.Check()
+	if got != "billing" {
+		t.Errorf("service %q after a check; want billing", got)
+	}
+}
