--- a/internal/daemon/peer/gossiperproofs.go
+++ b/internal/daemon/peer/gossiperasks.go
@@ -22,7 +22,7 @@
 // the plans decide, until c ends.
 func (s *Gossiper) askLoop(c context.Context) error {
 	p, v := s.proofs.Plan(), s.self()
-	a := configservice.NewProofSources(v.Instance, v.DataCentre)
+	a := configservice.NewAskSources(v.Instance, v.DataCentre)
 	w := false // whether the catalogue was too old
 	for lavenderridge.Sleep(c, s.apply.AskInterval(rand.Float64())) == nil {
 		s.ask(c, a)
@@ -51,7 +51,7 @@
 
 // ask exchanges versions with the next of the sources a, unless what is known of the
 // source is fresh. A source whose reply isn't is not asked again at once.
-func (s *Gossiper) ask(c context.Context, a *configservice.ProofSources) {
+func (s *Gossiper) ask(c context.Context, a *configservice.AskSources) {
 	p, l := s.proofs.Plan(), s.store.InstanceList()
 	if l == nil {
 		return
--- a/internal/policy/configservice/proofsources.go
+++ b/internal/policy/configservice/asksources.go
@@ -8,12 +8,12 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// proofFanOut bounds the daemons that ask the same one for proofs while no call fails.
-const proofFanOut = 32
+// askFanOut bounds the daemons that ask the same one while no call fails.
+const askFanOut = 32
 
-// ProofSources decides which daemon another one asks for a proof of its catalogue. It is
-// not safe for concurrent use.
-type ProofSources struct {
+// AskSources decides which daemon another one asks for a proof of its catalogue, and for
+// word of who follows the source. It is not safe for concurrent use.
+type AskSources struct {
 	instance   lavenderridge.InstanceID
 	dataCentre lavenderridge.DataCentreID
 
@@ -25,14 +25,14 @@
 	next int
 }
 
-// NewProofSources returns the sources of the daemon of the instance n in the data centre d.
-func NewProofSources(n lavenderridge.InstanceID, d lavenderridge.DataCentreID) *ProofSources {
-	return &ProofSources{instance: n, dataCentre: d}
+// NewAskSources returns the sources of the daemon of the instance n in the data centre d.
+func NewAskSources(n lavenderridge.InstanceID, d lavenderridge.DataCentreID) *AskSources {
+	return &AskSources{instance: n, dataCentre: d}
 }
 
 // Update makes the sources those of the instance list l and the catalogue c. It reports
 // whether the daemon is a reader of its data centre.
-func (s *ProofSources) Update(l *lavenderridge.InstanceList, c *lavenderridge.Catalogue) bool {
+func (s *AskSources) Update(l *lavenderridge.InstanceList, c *lavenderridge.Catalogue) bool {
 	if s.list == l && s.catalogue == c {
 		return s.isReader
 	}
@@ -50,20 +50,20 @@
 // daemon has the index k. The readers answer the first daemons in it; those behind ask
 // daemons before them, so that nobody answers more than proofFanOut. The standbys, which
 // step in for the readers, are asked after them.
-func (s *ProofSources) parents(a []lavenderridge.InstanceID, k int) []lavenderridge.InstanceID {
+func (s *AskSources) parents(a []lavenderridge.InstanceID, k int) []lavenderridge.InstanceID {
 	r := slices.Clone(a[:min(len(a), readersPerDataCentre)])
 	if k%2 == 1 {
 		slices.Reverse(r)
 	}
-	if g := k - readersPerDataCentre*(1+proofFanOut); g >= 0 {
-		r = append([]lavenderridge.InstanceID{a[readersPerDataCentre+g/proofFanOut]}, r...)
+	if g := k - readersPerDataCentre*(1+askFanOut); g >= 0 {
+		r = append([]lavenderridge.InstanceID{a[readersPerDataCentre+g/askFanOut]}, r...)
 	}
 	return append(r, a[min(len(a), readersPerDataCentre):min(len(a), readersPerDataCentre+standbysPerDataCentre)]...)
 }
 
 // remoteReaders returns the readers of the other data centres, from a different one on for
 // each daemon.
-func (s *ProofSources) remoteReaders() []lavenderridge.InstanceID {
+func (s *AskSources) remoteReaders() []lavenderridge.InstanceID {
 	d := make(map[lavenderridge.DataCentreID]bool)
 	for i := range s.list.Instances {
 		d[s.list.Instances[i].DataCentre] = true
@@ -83,7 +83,7 @@
 }
 
 // Next returns the instance to ask, or "" if there is none.
-func (s *ProofSources) Next() lavenderridge.InstanceID {
+func (s *AskSources) Next() lavenderridge.InstanceID {
 	if len(s.sources) == 0 {
 		return ""
 	}
@@ -91,6 +91,6 @@
 }
 
 // Skip makes Next return another instance, because the last one gave no fresh proof.
-func (s *ProofSources) Skip() {
+func (s *AskSources) Skip() {
 	s.next++
 }
--- a/internal/policy/configservice/proofs_test.go
+++ b/internal/policy/configservice/proofs_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// TestProofSources prints the daemons that others ask for proofs.
-func TestProofSources(t *testing.T) {
+// TestAskSources prints the daemons that others ask.
+func TestAskSources(t *testing.T) {
 	datadriven.RunTest(t, "testdata/proofsources", func(t *testing.T, d *datadriven.TestData) string {
 		var n, c int
 		d.ScanArgs(t, "daemons", &n)
@@ -97,7 +97,7 @@
 	var b strings.Builder
 	for i := range l.Instances {
 		v := &l.Instances[i]
-		s := configservice.NewProofSources(v.ID, v.DataCentre)
+		s := configservice.NewAskSources(v.ID, v.DataCentre)
 		r := s.Update(l, nil)
 		if i < 3 {
 			fmt.Fprintf(&b, "%s in %s, reader %t, asks", v.ID, v.DataCentre, r)
@@ -107,7 +107,7 @@
 			}
 			b.WriteString("\n")
 		}
-		if s = configservice.NewProofSources(v.ID, v.DataCentre); !s.Update(l, nil) {
+		if s = configservice.NewAskSources(v.ID, v.DataCentre); !s.Update(l, nil) {
 			parent[v.ID] = s.Next()
 			children[s.Next()]++
 		}
