Ask who follows the source when the word of it is due

A daemon two calls away from a reader, in data centres of more than 66, could step in during calm at bounds up to 3 s: its word got up to 0.64 of the bound old, and 0.2 s, and 0.7 lets it step in.

The decision whether to ask was made at fixed intervals, which added to the age. A daemon now waits until its word has the age from which on it asks, so that the age two calls away is at most 0.48 of the bound and the reader's pause, with fewer wake-ups and no more calls. TestCalmFollowing tests both distances.

--- a/internal/daemon/peer/gossiperasks.go
+++ b/internal/daemon/peer/gossiperasks.go
@@ -24,7 +24,7 @@
 	p, v := s.proofs.Plan(), s.self()
 	a := configservice.NewAskSources(v.Instance, v.DataCentre)
 	w := false // whether the catalogue was too old
-	for lavenderridge.Sleep(c, s.apply.AskInterval(rand.Float64())) == nil {
+	for lavenderridge.Sleep(c, s.askDelay()) == nil {
 		s.ask(c, a)
 		if !p.Enabled() {
 			continue
@@ -78,6 +78,15 @@
 	}
 }
 
+// askDelay returns the time until the next decision whether to ask.
+func (s *Gossiper) askDelay() time.Duration {
+	d := s.apply.AskDelay(s.followAge(), rand.Float64())
+	if p := s.proofs.Plan(); p.Enabled() {
+		return min(d, p.AskInterval(rand.Float64()))
+	}
+	return d
+}
+
 // followAge returns the age of the latest word that another daemon follows the source.
 func (s *Gossiper) followAge() time.Duration {
 	h := s.sourceContact.HeardFollowing()
--- a/internal/policy/configservice/applyplan.go
+++ b/internal/policy/configservice/applyplan.go
@@ -11,8 +11,10 @@
 	// askApplyShare is the age of the latest word that a daemon follows the source from
 	// which on another daemon is asked, and the time for which its reply is waited for.
 	askApplyShare = 0.2
-	// askApplyIntervalShare is the mean time between two decisions whether to ask.
-	askApplyIntervalShare = 0.1
+	// askApplyPauseShare is the least time between two questions, and askApplyJitterShare
+	// the longest random delay of one.
+	askApplyPauseShare  = 0.05
+	askApplyJitterShare = 0.04
 	// standbyShare and stepInShare are the ages of that word from which on a standby
 	// and any other daemon follow the source themselves. The rest is for the call and for
 	// the spreading of what it brings.
@@ -46,10 +48,11 @@
 	return ApplyPlan{within: d}
 }
 
-// AskInterval returns the time until the daemon next decides whether to ask another one.
-// The random number r in [0, 1) spreads the calls.
-func (p ApplyPlan) AskInterval(r float64) time.Duration {
-	return p.share(askApplyIntervalShare * (4 + 2*r) / 5)
+// AskDelay returns the time until the daemon next decides whether to ask another one, when
+// its latest word that somebody follows the source has the age a. The random number r in
+// [0, 1) spreads the calls.
+func (p ApplyPlan) AskDelay(a time.Duration, r float64) time.Duration {
+	return max(p.share(askApplyShare)-a, p.share(askApplyPauseShare)) + p.share(askApplyJitterShare*r)
 }
 
 // AskTimeout returns the longest wait for a reply.
--- a/internal/policy/configservice/applyplan_test.go
+++ b/internal/policy/configservice/applyplan_test.go
@@ -14,22 +14,24 @@
 const readerPause = 200 * time.Millisecond
 
 // TestCalmFollowing guards against daemons that step in although the readers follow the
-// source: the latest word of a reader is younger than that in calm.
+// source: the latest word of a reader is younger than that in calm, also for daemons that
+// ask one which asks a reader.
 func TestCalmFollowing(t *testing.T) {
 	for _, w := range []time.Duration{2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, configservice.DefaultApplyWithin} {
 		p := configservice.NewApplyPlan(w)
 		a := readerPause
-		for !p.Asks(a, false) {
-			a += time.Millisecond
-		}
-		a += p.AskInterval(1)
-		f := configservice.FollowScheduler{}.Next(configservice.ReadState{HasInstanceList: true, HasVersion: true, Rank: 2, FollowAge: a, Apply: p}, 0)
-		if !f.Skip {
-			t.Errorf("within %s: a standby steps in when the word of a reader has the age %s", w, a)
+		for k, r := range []int{2, 4} { // a standby asks a reader
+			a += p.AskDelay(0, 1)
+			if f := (configservice.FollowScheduler{}).Next(configservice.ReadState{HasInstanceList: true, HasVersion: true, Rank: r, FollowAge: a, Apply: p}, 0); !f.Skip {
+				t.Errorf("within %s: rank %d steps in when the word of a reader, %d calls away, has the age %s", w, r, k+1, a)
+			}
 		}
 		if p.Asks(a, true) {
 			t.Errorf("within %s: a reader asks who follows the source", w)
 		}
+		if d := p.AskDelay(0, 0); !p.Asks(d, false) {
+			t.Errorf("within %s: no question after the delay %s", w, d)
+		}
 	}
 }
 
