--- a/internal/policy/backendserver/coldstartlimiter_test.go
+++ b/internal/policy/backendserver/coldstartlimiter_test.go
@@ -10,6 +10,20 @@
 	"github.com/lavenderridge/lavenderridge/internal/policy/backendserver"
 )
 
+// checkLastSecond fails the test t if more than m of the requests sent are of the second
+// before n.
+func checkLastSecond(t *rapid.T, sent []time.Time, n time.Time, m int) {
+	c := 0
+	for _, s := range sent {
+		if n.Sub(s) < time.Second {
+			c++
+		}
+	}
+	if c > m {
+		t.Fatalf("%d requests within one second; want at most %d", c, m)
+	}
+}
+
 // TestColdStartLimiter compares the limiter with a plain list: a cold backend
 // server gets no more than its rate in any second, also if the daemon
 // restarts.
@@ -59,15 +73,7 @@
 				if !g.Cold(n) {
 					warm = true
 				}
-				c := 0
-				for _, s := range sent {
-					if n.Sub(s) < time.Second {
-						c++
-					}
-				}
-				if c > rate {
-					t.Fatalf("%d requests within one second; want at most %d", c, rate)
-				}
+				checkLastSecond(t, sent, n, rate)
 			},
 		})
 	})
@@ -155,15 +161,7 @@
 				}
 			},
 			"": func(t *rapid.T) {
-				c := 0
-				for _, s := range sent {
-					if n.Sub(s) < time.Second {
-						c++
-					}
-				}
-				if c > rate {
-					t.Fatalf("%d requests within one second; want at most %d", c, rate)
-				}
+				checkLastSecond(t, sent, n, rate)
 			},
 		})
 	})
