--- a/internal/policy/configservice/asksources.go
+++ b/internal/policy/configservice/asksources.go
@@ -48,7 +48,7 @@
 
 // parents returns the daemons of the own data centre to ask, by the ranking a in which this
 // daemon has the index k. The readers answer the first daemons in it; those behind ask
-// daemons before them, so that nobody answers more than proofFanOut. The standbys, which
+// daemons before them, so that nobody answers more than askFanOut. The standbys, which
 // step in for the readers, are asked after them.
 func (s *AskSources) parents(a []lavenderridge.InstanceID, k int) []lavenderridge.InstanceID {
 	r := slices.Clone(a[:min(len(a), readersPerDataCentre)])
@@ -90,7 +90,7 @@
 	return s.sources[s.next%len(s.sources)]
 }
 
-// Skip makes Next return another instance, because the last one gave no fresh proof.
+// Skip makes Next return another instance, because the last one gave nothing fresh.
 func (s *AskSources) Skip() {
 	s.next++
 }
