Refuse parts of responses whose connection is reset during an upload

Callers got the first part of a response as the complete one: a backend server responded to a long upload at once, without a length, and reset the connection while the upload was still being written. Whatever the status; with a length or in chunks such parts were refused.

Cause: the kernel reports the loss of a connection once. When the write of the upload got the error, the reads after it returned the end of the connection, which is the end of such a response.

Now plainhttp.ResponseConn ends reading with io.EOF only if the connection ends in order: it waits until the request has been written, asks a write that is still running, and returns the error that a write got or that the socket still has. A server that ends its side and reads on is waited for, until the request's deadline. plainhttp.NewTransport opens such connections, and every HTTP client of the product uses it, which shape_test.go checks: health checks, the sources of configurations, operators, the load tool, the soak and measurements.

Early responses that are complete are returned as before.

--- a/internal/load/caller/generator.go
+++ b/internal/load/caller/generator.go
@@ -21,7 +21,7 @@
 // A Generator sends the requests of a plan.
 type Generator struct {
 	plan   Plan
-	pool   *http.Transport
+	pool   *plainhttp.Transport
 	client *kratoshttp.Client
 	// mix contains each share of the plan as often as its weight, so that a
 	// uniform draw follows the weights.
@@ -41,7 +41,7 @@
 	if e := p.Check().Err(); e != nil {
 		return nil, e
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: p.Concurrency, MaxConnsPerHost: p.Concurrency, DisableCompression: true}
+	t := plainhttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: p.Concurrency, MaxConnsPerHost: p.Concurrency})
 	k, e := plainhttp.NewClient(c, t, p.Timeout)
 	if e != nil {
 		return nil, fmt.Errorf("load: create HTTP client: %w", e)
--- a/internal/measure/latency/sampler.go
+++ b/internal/measure/latency/sampler.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/lavenderridge/lavenderridge"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const (
@@ -91,7 +92,7 @@
 
 func newCaller(s *sampler) *caller {
 	return &caller{
-		sampler: s, client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}},
+		sampler: s, client: &http.Client{Transport: plainhttp.NewTransport(&http.Transport{MaxConnsPerHost: 1})},
 		body: make([]byte, s.plan.Body), latency: hdrhistogram.New(lowestLatency, highestLatency, significantDigits),
 	}
 }
--- a/internal/soak/fleet/callers.go
+++ b/internal/soak/fleet/callers.go
@@ -14,6 +14,7 @@
 	"github.com/lavenderridge/lavenderridge"
 	"github.com/lavenderridge/lavenderridge/internal/soak/judge"
 	"github.com/lavenderridge/lavenderridge/internal/transport/callerhttp"
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 const (
@@ -45,11 +46,16 @@
 // sends some requests again by itself when a connection breaks.
 type unreplayableBody struct{ io.ReadCloser }
 
+// newHTTPClient returns the HTTP client of a caller.
+func newHTTPClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: plainhttp.NewTransport(&http.Transport{})}
+}
+
 // call runs the caller i until c ends. It sends one request at a time to its
 // daemon: reads, writes, and writes with an idempotency key.
 func (f *Fleet) call(c context.Context, i int) error {
 	r := rand.New(rand.NewPCG(f.plan.Seed, uint64(i)))
-	h := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true}}
+	h := newHTTPClient()
 	defer h.CloseIdleConnections()
 	p := f.processes[i%len(f.processes)]
 	for n := 0; c.Err() == nil; n++ {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -255,7 +255,7 @@
 		if s, e := status(c, p); e != nil || s.Versions.Catalogue != f.history.Latest {
 			f.history.Outdated = append(f.history.Outdated, p.instance.ID)
 		}
-		h := &http.Client{Timeout: callTimeout}
+		h := newHTTPClient()
 		for i := range probesPerDaemon {
 			f.history.Probes++
 			if r := f.send(c, h, p, http.MethodGet, readPath, "", f.credentials(i, 0)).Result; r == judge.Answered {
--- a/internal/transport/backendhttp/countedconn.go
+++ b/internal/transport/backendhttp/countedconn.go
@@ -4,6 +4,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 // sealedBit is set in the written count of a connection on which all further
@@ -20,6 +23,11 @@
 	onClose func()
 }
 
+// SyscallConn implements syscall.Conn.
+func (n *countedConn) SyscallConn() (syscall.RawConn, error) {
+	return plainhttp.RawConn(n.Conn)
+}
+
 // Write implements net.Conn.
 func (n *countedConn) Write(b []byte) (int, error) {
 	if n.owner.Load() == nil {
--- a/internal/transport/backendhttp/pool.go
+++ b/internal/transport/backendhttp/pool.go
@@ -17,17 +17,16 @@
 // whole pool when its connections may be half-open.
 type pool struct {
 	http      *kratoshttp.Client
-	transport *http.Transport
+	transport *plainhttp.Transport
 }
 
 // newPool returns a pool of at most n connections. If k is false, each request
 // uses a new connection, which is closed after the response.
 func newPool(c context.Context, d *dialer, n int, k bool) (*pool, error) {
-	t := &http.Transport{
+	t := plainhttp.NewTransport(&http.Transport{
 		DialContext: d.dial, MaxConnsPerHost: n, MaxIdleConnsPerHost: n, IdleConnTimeout: idleTimeout,
-		DisableCompression: true, DisableKeepAlives: !k,
-		MaxResponseHeaderBytes: plainhttp.MaxResponseHead,
-	}
+		DisableKeepAlives: !k,
+	})
 	h, e := plainhttp.NewClient(c, locationHider{t}, 0)
 	if e != nil {
 		return nil, fmt.Errorf("backendhttp: %w", e)
--- a/internal/transport/backendhttp/sendtracker.go
+++ b/internal/transport/backendhttp/sendtracker.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/lavenderridge/lavenderridge/internal/transport/plainhttp"
 )
 
 // errSentBefore is the cause with which the HTTP library's attempt to send a request once
@@ -39,7 +41,11 @@
 // own makes the request the owner of the connection n. If it may have been sent over
 // another one, own closes n to writes and returns false.
 func (s *sendTracker) own(n net.Conn) bool {
-	v, o := n.(*countedConn)
+	w, o := n.(*plainhttp.ResponseConn)
+	if !o {
+		return false
+	}
+	v, o := w.NetConn().(*countedConn)
 	if !o {
 		return false
 	}
--- a/internal/transport/confighttp/client.go
+++ b/internal/transport/confighttp/client.go
@@ -31,14 +31,14 @@
 type Client struct {
 	http      *kratoshttp.Client
 	address   lavenderridge.Address
-	transport *http.Transport
+	transport *plainhttp.Transport
 }
 
 var _ lavenderridge.ConfigService = (*Client)(nil)
 
 // NewClient returns a client of the configuration service at the address a.
 func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
-	p := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: plainhttp.MaxResponseHead}
+	p := plainhttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})
 	h, e := plainhttp.NewClient(c, p, 0)
 	if e != nil {
 		return nil, fmt.Errorf("confighttp: %w", e)
--- a/internal/transport/operatorhttp/client.go
+++ b/internal/transport/operatorhttp/client.go
@@ -18,13 +18,13 @@
 // A Client reads the operator views of one daemon.
 type Client struct {
 	http      *kratoshttp.Client
-	transport *http.Transport
+	transport *plainhttp.Transport
 	address   lavenderridge.Address
 }
 
 // NewClient returns a client of the daemon with the operator address a.
 func NewClient(c context.Context, a lavenderridge.Address) (*Client, error) {
-	p := &http.Transport{MaxResponseHeaderBytes: plainhttp.MaxResponseHead}
+	p := plainhttp.NewTransport(&http.Transport{})
 	h, e := plainhttp.NewClient(c, p, 0)
 	if e != nil {
 		return nil, fmt.Errorf("operatorhttp: %w", e)
--- a/internal/transport/plainhttp/conn.go
+++ b/internal/transport/plainhttp/conn.go
@@ -203,7 +203,12 @@
 
 // SyscallConn implements syscall.Conn.
 func (n *Conn) SyscallConn() (syscall.RawConn, error) {
-	if c, o := n.Conn.(syscall.Conn); o {
+	return RawConn(n.Conn)
+}
+
+// RawConn returns the descriptor of the connection n.
+func RawConn(n net.Conn) (syscall.RawConn, error) {
+	if c, o := n.(syscall.Conn); o {
 		return c.SyscallConn()
 	}
 	return nil, errors.New("plainhttp: the connection has no descriptor")
--- /dev/null
+++ b/internal/transport/plainhttp/responseconn.go
@@ -0,0 +1,140 @@
+package plainhttp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// readEnded is set in the count of running writes when reading has ended.
+const readEnded int64 = 1 << 62
+
+// A ResponseConn is a connection to a server. Its reads end with io.EOF only if the
+// connection ends in order: the server ends its side, and nothing that was sent to it is
+// rejected. A response may have no other end than that of its connection.
+//
+// The kernel reports the loss of a connection once. If a write gets the error, which is
+// likely while a large request is sent, the kernel lets reads end as if in order.
+type ResponseConn struct {
+	net.Conn
+	// request is the latest request with a body.
+	request atomic.Pointer[sentRequest]
+	// responding is true from the first byte of the response to it.
+	responding atomic.Bool
+	// writes is the number of running writes; it has readEnded at the end of reading.
+	writes atomic.Int64
+	// lost is the first error of a write.
+	lost atomic.Pointer[error]
+	// lastWrite is closed when no write is running after the end of reading, and closed
+	// by Close.
+	lastWrite, closed        chan struct{}
+	lastWriteOnce, closeOnce sync.Once
+}
+
+var _ syscall.Conn = (*ResponseConn)(nil)
+
+func newResponseConn(n net.Conn) *ResponseConn {
+	return &ResponseConn{Conn: n, lastWrite: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// NetConn returns the connection that was dialled.
+func (n *ResponseConn) NetConn() net.Conn {
+	return n.Conn
+}
+
+// SyscallConn implements syscall.Conn.
+func (n *ResponseConn) SyscallConn() (syscall.RawConn, error) {
+	return RawConn(n.Conn)
+}
+
+// send begins the request r.
+func (n *ResponseConn) send(r *sentRequest) {
+	n.responding.Store(false)
+	n.request.Store(r)
+}
+
+// Write implements net.Conn. After the end of reading, it writes nothing.
+func (n *ResponseConn) Write(b []byte) (int, error) {
+	defer n.endWrite()
+	if n.writes.Add(1)&readEnded != 0 {
+		return 0, net.ErrClosed
+	}
+	k, e := n.Conn.Write(b)
+	if e != nil && !errors.Is(e, net.ErrClosed) && !errors.Is(e, os.ErrDeadlineExceeded) {
+		v := e
+		n.lost.CompareAndSwap(nil, &v)
+	}
+	return k, e
+}
+
+func (n *ResponseConn) endWrite() {
+	if n.writes.Add(-1) == readEnded {
+		n.lastWriteOnce.Do(func() { close(n.lastWrite) })
+	}
+}
+
+// Read implements net.Conn.
+func (n *ResponseConn) Read(b []byte) (int, error) {
+	k, e := n.Conn.Read(b)
+	if k > 0 {
+		n.responding.Store(true)
+	}
+	if errors.Is(e, io.EOF) {
+		e = n.endError()
+	}
+	return k, e
+}
+
+// endError returns io.EOF if the connection has ended in order, and otherwise the error
+// that shows that it was lost. If the server has ended its side in the middle of a
+// response and still reads the request, endError waits until it has been sent.
+func (n *ResponseConn) endError() error {
+	r := n.request.Load()
+	if r != nil && n.responding.Load() {
+		select {
+		case <-r.done:
+		case <-n.closed:
+			return net.ErrClosed
+		}
+		if r.err != nil {
+			return r.err
+		}
+	}
+	if n.writes.Or(readEnded)&^readEnded > 0 {
+		// The write may wait for a server that reads nothing more.
+		_ = n.SetWriteDeadline(time.Unix(1, 0))
+		<-n.lastWrite
+	}
+	if e := n.lost.Load(); e != nil {
+		return *e
+	}
+	if e := socketError(n); e != nil {
+		return e
+	}
+	return io.EOF
+}
+
+// Close implements net.Conn.
+func (n *ResponseConn) Close() error {
+	n.closeOnce.Do(func() { close(n.closed) })
+	return n.Conn.Close()
+}
+
+// socketError returns the error of the socket of n that no read or write has got, or nil.
+func socketError(n syscall.Conn) error {
+	r, e := n.SyscallConn()
+	if e != nil {
+		return nil
+	}
+	v := 0
+	x := r.Control(func(d uintptr) { v, e = syscall.GetsockoptInt(int(d), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	if x != nil || e != nil || v == 0 {
+		return errors.Join(x, e)
+	}
+	return syscall.Errno(v)
+}
--- /dev/null
+++ b/internal/transport/plainhttp/transport.go
@@ -0,0 +1,42 @@
+package plainhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// A Transport is the HTTP library's transport to servers that may be faulty. A response
+// that is broken ends with an error.
+type Transport struct {
+	*http.Transport
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport returns a transport with the settings of t, which it takes over. It bounds
+// the heads of responses, asks for no encoding of bodies, and opens each connection as a
+// ResponseConn.
+func NewTransport(t *http.Transport) *Transport {
+	d := t.DialContext
+	if d == nil {
+		d = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(c context.Context, n, a string) (net.Conn, error) {
+		v, e := d(c, n, a)
+		if e != nil {
+			return nil, e
+		}
+		return newResponseConn(v), nil
+	}
+	t.DisableCompression, t.MaxResponseHeaderBytes = true, MaxResponseHead
+	return &Transport{Transport: t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
+	if q.ContentLength != 0 {
+		q = q.WithContext(withSentRequest(q.Context()))
+	}
+	return t.Transport.RoundTrip(q)
+}
--- a/shape_test.go
+++ b/shape_test.go
@@ -154,3 +154,59 @@
 		return true
 	})
 }
+
+// TestResponsesAreChecked checks that HTTP clients use plainhttp.Transport, which returns no
+// broken response. The transport between daemons uses HTTP/2, which marks the end of each
+// response.
+func TestResponsesAreChecked(t *testing.T) {
+	unchecked := []string{"DefaultClient", "DefaultTransport", "Get", "Head", "Post", "PostForm"}
+	for _, f := range sourceFiles(t) {
+		checked := make(map[ast.Node]bool)
+		ast.Inspect(f.tree, func(n ast.Node) bool {
+			switch v := n.(type) {
+			case *ast.CallExpr:
+				if isSelector(v.Fun, "plainhttp", "NewTransport") || isSelector(v.Fun, "http2", "ConfigureTransports") {
+					for _, a := range v.Args {
+						checked[ast.Unparen(a)] = true
+					}
+				}
+			case *ast.UnaryExpr:
+				checked[v.X] = checked[v]
+			case *ast.CompositeLit:
+				if isSelector(v.Type, "http", "Transport") && !checked[v] {
+					t.Errorf("%s: http.Transport; want plainhttp.NewTransport", f.set.Position(v.Pos()))
+				}
+				if isSelector(v.Type, "http", "Client") && !hasKey(v, "Transport") {
+					t.Errorf("%s: http.Client without a Transport", f.set.Position(v.Pos()))
+				}
+			case *ast.SelectorExpr:
+				for _, u := range unchecked {
+					if isSelector(v, "http", u) {
+						t.Errorf("%s: http.%s; want plainhttp.NewTransport", f.set.Position(v.Pos()), u)
+					}
+				}
+			}
+			return true
+		})
+	}
+}
+
+// isSelector reports whether the expression e is the name n of the package p.
+func isSelector(e ast.Expr, p, n string) bool {
+	s, o := e.(*ast.SelectorExpr)
+	if !o {
+		return false
+	}
+	x, o := s.X.(*ast.Ident)
+	return o && x.Name == p && s.Sel.Name == n
+}
+
+// hasKey reports whether the literal v sets the field n.
+func hasKey(v *ast.CompositeLit, n string) bool {
+	for _, e := range v.Elts {
+		if k, o := e.(*ast.KeyValueExpr); o && k.Key.(*ast.Ident).Name == n {
+			return true
+		}
+	}
+	return false
+}
