Refuse responses that have a blank in the name of a field

Callers got a response with a malformed head as a good one: the line was passed on between daemons, and with "Transfer-Encoding : chunked" the raw chunks became the body. Refusals and health checks with such heads were believed, and the load tool counted them as answered.

Cause: the HTTP library accepts blanks in the names of fields (it refuses all other bytes that don't belong there) and then doesn't know the field, even if it says where the body ends. Nothing looked at the names.

Now CheckResponseHead decides by the names. plainhttp.Transport asks it for all HTTP clients, peerhttp for what other daemons pass on. The request may have run, so the outcome is Unknown and the reason BadResponse. The library keeps a connection whose response has no body before anybody sees the head: backendhttp closes it unless another request owns it.

--- a/internal/load/caller/generator_test.go
+++ b/internal/load/caller/generator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,6 +32,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasSuffix(r.URL.Path, "/cut"):
 		panic(http.ErrAbortHandler)
+	case strings.HasSuffix(r.URL.Path, "/blank"):
+		writeRaw(w, "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok")
 	case strings.HasSuffix(r.URL.Path, "/echo"):
 		_, _ = fmt.Fprint(w, r.Header.Get(callerhttp.IdempotencyKeyHeader))
 	case strings.HasSuffix(r.URL.Path, "/differ"):
@@ -38,6 +41,16 @@
 	}
 }
 
+// writeRaw writes the bytes p as the response and closes the connection.
+func writeRaw(w http.ResponseWriter, p string) {
+	n, _, e := http.NewResponseController(w).Hijack()
+	if e != nil {
+		panic(e)
+	}
+	_, _ = io.WriteString(n, p)
+	_ = n.Close()
+}
+
 // TestLoad runs the commands in testdata/load. Each command sends a load of one or
 // more kinds of request, and its output is the counts of the report.
 func TestLoad(t *testing.T) {
--- a/internal/transport/backendhttp/earlyresponse_test.go
+++ b/internal/transport/backendhttp/earlyresponse_test.go
@@ -136,10 +136,5 @@
 	defer f()
 	r := request("POST", "")
 	r.Body = bytes.Repeat([]byte{'u'}, n)
-	p, e := b.Handle(c, r)
-	if e != nil {
-		v := lavenderridge.AsRefusal(e)
-		return fmt.Sprintf("%s %s", v.Reason, v.Outcome)
-	}
-	return fmt.Sprintf("%d %q", p.Status, p.Body)
+	return outcomeOf(b.Handle(c, r))
 }
--- a/internal/transport/backendhttp/sendtracker.go
+++ b/internal/transport/backendhttp/sendtracker.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// discard closes the connection, unless another request owns it already. The HTTP library
+// keeps a connection when the head of a response without a body has arrived.
+func (s *sendTracker) discard() {
+	if v := s.connection.Load(); v != nil && v.owner.CompareAndSwap(s, nil) {
+		_ = v.Close()
+	}
+}
+
 // mayHaveSent reports whether any byte of the request may have been sent. It
 // seals the connection first, so that no byte is sent after it has reported
 // false.
--- a/internal/transport/peerhttp/body_test.go
+++ b/internal/transport/peerhttp/body_test.go
@@ -199,6 +199,31 @@
 	}
 }
 
+// namePeer responds with a header that has one field.
+type namePeer struct {
+	lavenderridge.Peer
+	name string
+}
+
+func (p namePeer) Handle(_ context.Context, r *lavenderridge.Request) (*lavenderridge.Response, error) {
+	return &lavenderridge.Response{ID: r.ID, Status: 200, Header: lavenderridge.Header{p.name: {"1"}}}, nil
+}
+
+// TestRemoteFieldNames guards against a header that comes from a daemon that doesn't check
+// the names of fields.
+func TestRemoteFieldNames(t *testing.T) {
+	for n, o := range map[string]bool{"X-Y": true, "X Y": false, "Transfer-Encoding ": false, "X\x01": false, "": false} {
+		l, _ := newBodyPair(t, 0, namePeer{name: n})
+		p, e := l.Handle(t.Context(), &lavenderridge.Request{ID: "1"})
+		switch {
+		case o && (e != nil || p.Header[n] == nil):
+			t.Errorf("name %q: %+v, %v", n, p, e)
+		case !o && (e == nil || lavenderridge.AsRefusal(e).Outcome != lavenderridge.OutcomeUnknown):
+			t.Errorf("name %q: %+v, %v; want a refusal with an unknown outcome", n, p, e)
+		}
+	}
+}
+
 // BenchmarkBody reports what one call with a body allocates, client and server together.
 func BenchmarkBody(b *testing.B) {
 	for _, n := range []lavenderridge.ByteCount{lavenderridge.Kibibyte, 64 * lavenderridge.Kibibyte, lavenderridge.Mebibyte, 8 * lavenderridge.Mebibyte, 64 * lavenderridge.Mebibyte} {
--- a/internal/transport/plainhttp/transport.go
+++ b/internal/transport/plainhttp/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/lavenderridge/lavenderridge"
 )
 
 // A Transport is the HTTP library's transport to servers that may be faulty. A response
@@ -33,10 +35,19 @@
 	return &Transport{Transport: t}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error is a lavenderridge.ErrMalformedHead if
+// the response has a malformed head.
 func (t *Transport) RoundTrip(q *http.Request) (*http.Response, error) {
 	if q.ContentLength != 0 {
 		q = q.WithContext(withSentRequest(q.Context()))
 	}
-	return t.Transport.RoundTrip(q)
+	p, e := t.Transport.RoundTrip(q)
+	if e != nil {
+		return nil, e
+	}
+	if e := lavenderridge.CheckResponseHead(lavenderridge.Header(p.Header)); e != nil {
+		_ = p.Body.Close()
+		return nil, e
+	}
+	return p, nil
 }
