Refuse statuses that end no request wherever responses are read

The load tool counted a response with the status 000 as answered (100 of 100), and health checks of the system's own protocol passed with 000 and with 999. Callers didn't get such a response: requests to backend servers and calls to other daemons refused it already.

Cause: the check stood at those two places only. Now CheckResponseHead decides by status and names, and plainhttp.Transport asks it for all HTTP clients, also of the soak, of operators and of the sources of configurations. The results of TestOnlyFinalStatuses and TestRemoteStatuses are the same as before. TestLoad and TestMalformedHeads fail on the old code: "answered 100" in place of "failed 100", and two passed health checks for each of the statuses 000 and 999.

--- a/internal/load/caller/generator_test.go
+++ b/internal/load/caller/generator_test.go
@@ -34,6 +34,8 @@
 		panic(http.ErrAbortHandler)
 	case strings.HasSuffix(r.URL.Path, "/blank"):
 		writeRaw(w, "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok")
+	case strings.HasSuffix(r.URL.Path, "/none"):
+		writeRaw(w, "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok")
 	case strings.HasSuffix(r.URL.Path, "/echo"):
 		_, _ = fmt.Fprint(w, r.Header.Get(callerhttp.IdempotencyKeyHeader))
 	case strings.HasSuffix(r.URL.Path, "/differ"):
--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -124,9 +124,6 @@
 	if !l.protocol.Matches(r, h) {
 		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, "the response is for another request")
 	}
-	if !lavenderridge.IsFinalStatus(p.StatusCode) {
-		return nil, lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Sprintf("the status %d ends no request", p.StatusCode))
-	}
 	n, o := l.protocol.NotRun(p.StatusCode, h)
 	if n != lavenderridge.ReasonWrongTarget {
 		l.onNotice(r, l.protocol.Notice(h))
--- a/internal/transport/peerhttp/link.go
+++ b/internal/transport/peerhttp/link.go
@@ -53,10 +53,7 @@
 	if e != nil {
 		return nil, e
 	}
-	if !lavenderridge.IsFinalStatus(v.Status) {
-		return nil, l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, fmt.Errorf("peerhttp: the status %d ends no request", v.Status))
-	}
-	if e := lavenderridge.CheckResponseHead(v.Header); e != nil {
+	if e := lavenderridge.CheckResponseHead(v.Status, v.Header); e != nil {
 		return nil, l.refusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e)
 	}
 	if len(p.body) > 0 {
--- a/internal/transport/plainhttp/transport.go
+++ b/internal/transport/plainhttp/transport.go
@@ -45,7 +45,7 @@
 	if e != nil {
 		return nil, e
 	}
-	if e := lavenderridge.CheckResponseHead(lavenderridge.Header(p.Header)); e != nil {
+	if e := lavenderridge.CheckResponseHead(p.StatusCode, lavenderridge.Header(p.Header)); e != nil {
 		_ = p.Body.Close()
 		return nil, e
 	}
