--- a/internal/transport/peerhttp/truncated_test.go
+++ b/internal/transport/peerhttp/truncated_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/lavenderridge/lavenderridge"
+	standin "github.com/lavenderridge/lavenderridge/internal/standin/link"
 )
 
 // TestTruncatedReply checks that a truncated reply is never treated as complete,
@@ -27,7 +29,12 @@
 			}
 			defer func() { _ = u.Close() }()
 			h := NewServer(u, &s.peer, func(lavenderridge.ByteCount) {})
-			h.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { writeHalf(t, w, q, c.end) })
+			h.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				if _, e := receive(q.Body, q.ContentLength, defaultMaxMessage, unbounded); e != nil {
+					t.Error(e)
+				}
+				writeHalf(t, w, c.end)
+			})
 			d := make(chan error, 1)
 			x, f := context.WithTimeout(context.Background(), 2*time.Second)
 			go func() { d <- h.Serve(x) }()
@@ -43,11 +50,41 @@
 	}
 }
 
-// writeHalf writes the first half of a response to one call, then calls end.
-func writeHalf(t *testing.T, w http.ResponseWriter, q *http.Request, end func()) {
-	if _, e := receive(q.Body, q.ContentLength, defaultMaxMessage, unbounded); e != nil {
-		t.Error(e)
+// The connection is reset while the body of the call is being written. The peer has sent
+// half of its reply before it has read the call.
+func TestResetDuringCall(t *testing.T) {
+	for i := range 4 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			s := newSession(t)
+			u, e := NewTransport("127.0.0.1:0", s.keys("b", s.authority))
+			if e != nil {
+				t.Fatal(e)
+			}
+			defer func() { _ = u.Close() }()
+			x, f := context.WithTimeout(context.Background(), 5*time.Second)
+			k, e := standin.NewTCP(x, u.Address())
+			if e != nil {
+				t.Fatal(e)
+			}
+			h := NewServer(u, &s.peer, func(lavenderridge.ByteCount) {})
+			h.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeHalf(t, w, k.Reset) })
+			d := make(chan error, 1)
+			go func() { d <- h.Serve(x) }()
+			p, e := s.client.Dial(&lavenderridge.Instance{ID: "b", Peer: k.Address()}).Handle(x, &lavenderridge.Request{ID: "r", Attempt: 1, Body: make([]byte, 4<<20)})
+			if e == nil {
+				t.Errorf("response %+v; want a refusal", p)
+			}
+			f()
+			if e := <-d; e != nil {
+				t.Error(e)
+			}
+			k.Wait()
+		})
 	}
+}
+
+// writeHalf writes the first half of a response, then calls end.
+func writeHalf(t *testing.T, w http.ResponseWriter, end func()) {
 	b, e := encode(byte(statusReply), newWireResponse(&lavenderridge.Response{ID: "r", Attempt: 1, Status: 200, Body: make([]byte, 100)}))
 	if e != nil {
 		t.Error(e)
