Say in comments which connections and responses are refused

Comments only: the fields of ResponseConn have one comment each, and the functions that close a connection say so.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -254,7 +254,7 @@
 }
 
 // requestRefusal returns the refusal for the error e of the request that s
-// tracks.
+// tracks. It closes the connection of a response with a malformed head.
 func requestRefusal(c context.Context, s *sendTracker, e error) error {
 	if errors.Is(e, lavenderridge.ErrMalformedHead) {
 		s.discard()
@@ -359,6 +359,7 @@
 }
 
 // probeError returns the error of Probe for the error e of the HTTP request that s tracks.
+// It closes the connection of a response with a malformed head.
 func probeError(c context.Context, s *sendTracker, e error) error {
 	if errors.Is(e, lavenderridge.ErrMalformedHead) {
 		s.discard()
--- a/internal/transport/plainhttp/client.go
+++ b/internal/transport/plainhttp/client.go
@@ -1,5 +1,6 @@
-// Package plainhttp creates HTTP clients without the error decoding and service
-// discovery of the kratos library, and shuts down HTTP servers gracefully.
+// Package plainhttp creates HTTP clients that return no broken response, without the
+// error decoding and service discovery of the kratos library, and shuts down HTTP servers
+// gracefully.
 package plainhttp
 
 import (
--- a/internal/transport/plainhttp/responseconn.go
+++ b/internal/transport/plainhttp/responseconn.go
@@ -24,16 +24,18 @@
 	net.Conn
 	// request is the latest request with a body.
 	request atomic.Pointer[sentRequest]
-	// responding is true from the first byte of the response to it.
+	// responding is true from the first byte that arrives after request has begun.
 	responding atomic.Bool
 	// writes is the number of running writes; it has readEnded at the end of reading.
 	writes atomic.Int64
 	// lost is the first error of a write.
 	lost atomic.Pointer[error]
-	// lastWrite is closed when no write is running after the end of reading, and closed
-	// by Close.
-	lastWrite, closed        chan struct{}
-	lastWriteOnce, closeOnce sync.Once
+	// lastWrite is closed when no write runs any more after the end of reading.
+	lastWrite     chan struct{}
+	lastWriteOnce sync.Once
+	// closed is closed by Close.
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 var _ syscall.Conn = (*ResponseConn)(nil)
@@ -91,8 +93,8 @@
 }
 
 // endError returns io.EOF if the connection has ended in order, and otherwise the error
-// that shows that it was lost. If the server has ended its side in the middle of a
-// response and still reads the request, endError waits until it has been sent.
+// that shows that it was lost. If the request is still being written after the response
+// has begun, it waits for that, because the server may read on after it has ended its side.
 func (n *ResponseConn) endError() error {
 	r := n.request.Load()
 	if r != nil && n.responding.Load() {
--- a/internal/transport/plainhttp/transport.go
+++ b/internal/transport/plainhttp/transport.go
@@ -8,8 +8,8 @@
 	"github.com/lavenderridge/lavenderridge"
 )
 
-// A Transport is the HTTP library's transport to servers that may be faulty. A response
-// that is broken ends with an error.
+// A Transport is the HTTP library's transport for servers that may be faulty. A response
+// with a malformed head, or one whose connection is lost, ends with an error.
 type Transport struct {
 	*http.Transport
 }
