Wait until a server has taken the request before its response is complete

Cause: the server's kernel ends the server's side first and rejects what it then finds in the queue of the socket. Between the two, the request has been written, no write has failed and the socket has no error. Now ResponseConn also waits until the server's kernel has acknowledged the request or has rejected it. It looks every millisecond, and only while a connection has ended and the request hasn't been acknowledged.

--- a/internal/transport/plainhttp/responseconn.go
+++ b/internal/transport/plainhttp/responseconn.go
@@ -9,8 +9,13 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// takenInterval is the time between two checks whether a server has taken a request.
+const takenInterval = time.Millisecond
+
 // readEnded is set in the count of running writes when reading has ended.
 const readEnded int64 = 1 << 62
 
@@ -93,18 +98,11 @@
 }
 
 // endError returns io.EOF if the connection has ended in order, and otherwise the error
-// that shows that it was lost. If the request is still being written after the response
-// has begun, it waits for that, because the server may read on after it has ended its side.
+// that shows that it was lost.
 func (n *ResponseConn) endError() error {
-	r := n.request.Load()
-	if r != nil && n.responding.Load() {
-		select {
-		case <-r.done:
-		case <-n.closed:
-			return net.ErrClosed
-		}
-		if r.err != nil {
-			return r.err
+	if r := n.request.Load(); r != nil && n.responding.Load() {
+		if e := n.awaitSent(r); e != nil {
+			return e
 		}
 	}
 	if n.writes.Or(readEnded)&^readEnded > 0 {
@@ -121,6 +119,35 @@
 	return io.EOF
 }
 
+// awaitSent waits until the request r has been written and the server has taken it, or
+// returns the error that ended this. The server may read on after it has ended its side.
+func (n *ResponseConn) awaitSent(r *sentRequest) error {
+	select {
+	case <-r.done:
+	case <-n.closed:
+		return net.ErrClosed
+	}
+	if r.err != nil {
+		return r.err
+	}
+	if unacknowledged(n) == 0 {
+		return nil
+	}
+	t := time.NewTicker(takenInterval)
+	defer t.Stop()
+	for unacknowledged(n) > 0 {
+		if e := socketError(n); e != nil {
+			return e
+		}
+		select {
+		case <-t.C:
+		case <-n.closed:
+			return net.ErrClosed
+		}
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (n *ResponseConn) Close() error {
 	n.closeOnce.Do(func() { close(n.closed) })
@@ -129,14 +156,36 @@
 
 // socketError returns the error of the socket of n that no read or write has got, or nil.
 func socketError(n syscall.Conn) error {
+	var v int
+	e := control(n, func(d int) (e error) {
+		v, e = unix.GetsockoptInt(d, unix.SOL_SOCKET, unix.SO_ERROR)
+		return e
+	})
+	if e != nil || v == 0 {
+		return e
+	}
+	return syscall.Errno(v)
+}
+
+// unacknowledged returns how many bytes that were written to n the server's kernel has not
+// acknowledged, or 0 if that isn't known.
+func unacknowledged(n syscall.Conn) int {
+	var v int
+	if control(n, func(d int) (e error) {
+		v, e = unix.IoctlGetInt(d, unix.SIOCOUTQ)
+		return e
+	}) != nil {
+		return 0
+	}
+	return v
+}
+
+// control calls f with the descriptor of n, if it has one.
+func control(n syscall.Conn, f func(d int) error) error {
 	r, e := n.SyscallConn()
 	if e != nil {
 		return nil
 	}
-	v := 0
-	x := r.Control(func(d uintptr) { v, e = syscall.GetsockoptInt(int(d), syscall.SOL_SOCKET, syscall.SO_ERROR) })
-	if x != nil || e != nil || v == 0 {
-		return errors.Join(x, e)
-	}
-	return syscall.Errno(v)
+	x := r.Control(func(d uintptr) { e = f(int(d)) })
+	return errors.Join(x, e)
 }
--- a/internal/transport/plainhttp/responseconn_test.go
+++ b/internal/transport/plainhttp/responseconn_test.go
@@ -43,7 +43,8 @@
 	datadriven.RunTest(t, "testdata/responseconn", func(t *testing.T, d *datadriven.TestData) string {
 		c, s := newResponsePair(t)
 		var o strings.Builder
-		sent := make(chan string, 1)
+		sent, received := make(chan string, 1), make(chan string, 1)
+		r := newSentRequest()
 		for l := range strings.Lines(d.Input) {
 			switch strings.TrimSpace(l) {
 			case "server writes":
@@ -55,6 +56,20 @@
 			case "server resets":
 				_ = s.SetLinger(0)
 				_ = s.Close()
+			case "server closes":
+				_ = s.Close()
+			case "request begins":
+				c.send(r)
+			case "request has been written":
+				r.end(nil)
+			case "client reads meanwhile":
+				go func() { received <- readOnce(c) }()
+			case "client's read ends":
+				o.WriteString(<-received)
+			case "client's read has ended":
+				_, _ = fmt.Fprintf(&o, "%t\n", len(received) > 0)
+			case "client closes":
+				_ = c.Close()
 			case "client writes":
 				_, e := c.Write(make([]byte, 1<<10))
 				_, _ = fmt.Fprintf(&o, "write: %s\n", errorName(e))
@@ -66,9 +81,7 @@
 			case "client's write ends":
 				_, _ = fmt.Fprintf(&o, "write: %s\n", <-sent)
 			case "client reads":
-				b := make([]byte, 16)
-				n, e := c.Read(b)
-				_, _ = fmt.Fprintf(&o, "read %q: %s\n", b[:n], errorName(e))
+				o.WriteString(readOnce(c))
 			default:
 				t.Fatalf("unknown step %q", l)
 			}
@@ -78,6 +91,12 @@
 	})
 }
 
+func readOnce(c net.Conn) string {
+	b := make([]byte, 16)
+	n, e := c.Read(b)
+	return fmt.Sprintf("read %q: %s\n", b[:n], errorName(e))
+}
+
 // errorName returns a name of the error e without addresses.
 func errorName(e error) string {
 	var n syscall.Errno
