Let a test of ResponseConn begin its write before it goes on

A busy machine could begin the write only after the connection had ended, and the golden file says how a write ends that was running. Not seen, found by reading.

--- a/internal/transport/plainhttp/responseconn_test.go
+++ b/internal/transport/plainhttp/responseconn_test.go
@@ -78,6 +78,9 @@
 					_, e := c.Write(make([]byte, 64<<20))
 					sent <- errorName(e)
 				}()
+				for c.writes.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
 			case "client's write ends":
 				_, _ = fmt.Fprintf(&o, "write: %s\n", <-sent)
 			case "client reads":
