Keep later requests off a connection that is discarded

The request after a response with a malformed head and without a body could fail: the library kept the connection, backendhttp closed it, and the library found out a moment later.

Cause: nothing waited for the library.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -257,7 +257,7 @@
 // tracks. It closes the connection of a response with a malformed head.
 func requestRefusal(c context.Context, s *sendTracker, e error) error {
 	if errors.Is(e, lavenderridge.ErrMalformedHead) {
-		s.discard()
+		s.discard(c)
 		return lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e.Error())
 	}
 	o, r := lavenderridge.OutcomeUnknown, lavenderridge.ReasonConnectionLost
@@ -362,7 +362,7 @@
 // It closes the connection of a response with a malformed head.
 func probeError(c context.Context, s *sendTracker, e error) error {
 	if errors.Is(e, lavenderridge.ErrMalformedHead) {
-		s.discard()
+		s.discard(c)
 	}
 	var n *net.OpError
 	if c.Err() == nil && errors.As(e, &n) && n.Op == "dial" && !n.Timeout() {
