Keep the connection of a malformed response without a body in use

The request after a response with a malformed head and without a body could fail, also with the outcome Unknown: the library keeps the connection when the head has arrived, and backendhttp closed it while another request already had it.

Closing won little: the library gives such a connection to a request that waits before anybody can close it, and closes an idle one by itself when more bytes arrive. Now nothing closes or seals it. TestMalformedHeadsBesideOthers wants all other requests answered; the stand-in of TestMalformedHeads no longer closes a kept connection without saying so.

--- a/internal/transport/backendhttp/client.go
+++ b/internal/transport/backendhttp/client.go
@@ -254,10 +254,11 @@
 }
 
 // requestRefusal returns the refusal for the error e of the request that s
-// tracks. It closes the connection of a response with a malformed head.
+// tracks.
 func requestRefusal(c context.Context, s *sendTracker, e error) error {
 	if errors.Is(e, lavenderridge.ErrMalformedHead) {
-		s.discard(c)
+		// The HTTP library may already have given the connection to another request, so
+		// mayHaveSent must not seal it.
 		return lavenderridge.NewRefusal(lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse, e.Error())
 	}
 	o, r := lavenderridge.OutcomeUnknown, lavenderridge.ReasonConnectionLost
@@ -329,8 +330,7 @@
 // probe queries the health endpoint over a connection of the pool o.
 func (l *Client) probe(c context.Context, o *pool) (lavenderridge.Health, error) {
 	var h lavenderridge.Health
-	s := &sendTracker{}
-	c, f := s.begin(c)
+	c, f := (&sendTracker{}).begin(c)
 	defer f()
 	q, e := http.NewRequestWithContext(c, http.MethodGet, "http://"+string(l.address)+l.healthCheckPath(), http.NoBody)
 	if e != nil {
@@ -338,7 +338,7 @@
 	}
 	p, e := o.http.Do(q)
 	if e != nil {
-		return h, probeError(c, s, e)
+		return h, probeError(c, e)
 	}
 	defer func() { _ = p.Body.Close() }()
 	if v, o := l.protocol.Health(p.StatusCode, lavenderridge.Header(p.Header)); o {
@@ -358,12 +358,8 @@
 	return defaultHealthPath
 }
 
-// probeError returns the error of Probe for the error e of the HTTP request that s tracks.
-// It closes the connection of a response with a malformed head.
-func probeError(c context.Context, s *sendTracker, e error) error {
-	if errors.Is(e, lavenderridge.ErrMalformedHead) {
-		s.discard(c)
-	}
+// probeError returns the error of Probe for the error e of its HTTP request.
+func probeError(c context.Context, e error) error {
 	var n *net.OpError
 	if c.Err() == nil && errors.As(e, &n) && n.Op == "dial" && !n.Timeout() {
 		return lavenderridge.NewRefusal(lavenderridge.OutcomeNotRun, lavenderridge.ReasonUnreachable, e.Error())
--- a/internal/transport/backendhttp/malformedhead_test.go
+++ b/internal/transport/backendhttp/malformedhead_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,7 +38,7 @@
 				return true
 			}
 			_, _ = io.WriteString(c, p)
-			return strings.Contains(p, "Content-Length:")
+			return strings.Contains(p, "Content-Length:") || strings.Contains(p, "204 No Content")
 		})
 		b := newClient(t, s.address(), 20, backendhttp.WithProtocol(anyEndProtocol{}))
 		c, f := context.WithTimeout(t.Context(), 5*time.Second)
@@ -63,3 +64,32 @@
 	}
 	return "passed"
 }
+
+// TestMalformedHeadsBesideOthers guards against requests that fail because they get the
+// connection of a response with a malformed head. The HTTP library keeps a connection when
+// the head of a response without a body has arrived.
+func TestMalformedHeadsBesideOthers(t *testing.T) {
+	s := newRawServer(t, func(_ int64, c net.Conn, q *http.Request) bool {
+		p := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+		if q.Method == http.MethodDelete {
+			p += "X Y: 1\r\n"
+		}
+		_, _ = io.WriteString(c, p+"\r\n")
+		return true
+	})
+	b := newClient(t, s.address(), 4)
+	var g sync.WaitGroup
+	for i := range 8 {
+		g.Go(func() {
+			for range 500 {
+				if i%2 == 0 {
+					_, e := b.Handle(t.Context(), request(http.MethodDelete, ""))
+					checkRefusal(t, e, lavenderridge.OutcomeUnknown, lavenderridge.ReasonBadResponse)
+				} else if _, e := b.Handle(t.Context(), request(http.MethodPost, "x")); e != nil {
+					t.Error(e)
+				}
+			}
+		})
+	}
+	g.Wait()
+}
--- a/internal/transport/backendhttp/sendtracker.go
+++ b/internal/transport/backendhttp/sendtracker.go
@@ -19,7 +19,6 @@
 // do so here, because a connection writes nothing unless a request owns it, and a request
 // that may have been sent gets no other connection.
 type sendTracker struct {
-	response      atomic.Pointer[plainhttp.ResponseConn]
 	connection    atomic.Pointer[countedConn]
 	writtenBefore atomic.Int64
 }
@@ -55,7 +54,6 @@
 		return false
 	}
 	s.writtenBefore.Store(v.written.Load())
-	s.response.Store(w)
 	s.connection.Store(v)
 	v.owner.Store(s)
 	return true
@@ -68,14 +66,6 @@
 	}
 }
 
-// discard closes the connection, unless another request owns it already. The HTTP library
-// keeps a connection when the head of a response without a body has arrived.
-func (s *sendTracker) discard(c context.Context) {
-	if v := s.connection.Load(); v != nil && v.owner.CompareAndSwap(s, nil) {
-		s.response.Load().Discard(c)
-	}
-}
-
 // mayHaveSent reports whether any byte of the request may have been sent. It
 // seals the connection first, so that no byte is sent after it has reported
 // false.
--- a/internal/transport/plainhttp/responseconn.go
+++ b/internal/transport/plainhttp/responseconn.go
@@ -1,7 +1,6 @@
 package plainhttp
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -155,16 +154,6 @@
 	return n.Conn.Close()
 }
 
-// Discard closes the connection and waits until the HTTP library has noticed that, so that
-// no later request gets the connection. It waits no longer than c lasts.
-func (n *ResponseConn) Discard(c context.Context) {
-	_ = n.Conn.Close()
-	select {
-	case <-n.closed:
-	case <-c.Done():
-	}
-}
-
 // socketError returns the error of the socket of n that no read or write has got, or nil.
 func socketError(n syscall.Conn) error {
 	var v int
