--- a/internal/transport/backendhttp/client_test.go
+++ b/internal/transport/backendhttp/client_test.go
@@ -53,23 +53,30 @@
 }
 
 func newRawServer(t *testing.T, f func(i int64, c net.Conn, q *http.Request) (open bool)) *rawServer {
+	t.Helper()
+	r := &rawServer{}
+	r.listener = acceptEach(t, func(c net.Conn) { r.serve(c, f) })
+	return r
+}
+
+// acceptEach returns a listener that calls f with each connection until the test ends.
+func acceptEach(t *testing.T, f func(net.Conn)) net.Listener {
 	t.Helper()
 	l, e := net.Listen("tcp", "127.0.0.1:0")
 	if e != nil {
 		t.Fatal(e)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	r := &rawServer{listener: l}
 	go func() {
 		for {
 			c, e := l.Accept()
 			if e != nil {
 				return
 			}
-			go r.serve(c, f)
+			go f(c)
 		}
 	}()
-	return r
+	return l
 }
 
 func (r *rawServer) serve(c net.Conn, f func(int64, net.Conn, *http.Request) bool) {
--- a/internal/transport/backendhttp/earlyresponse_test.go
+++ b/internal/transport/backendhttp/earlyresponse_test.go
@@ -23,7 +23,6 @@
 
 // earlyServer responds to uploads before it has read them.
 type earlyServer struct {
-	listener net.Listener
 	// read is how much of an upload is read before the response, in bytes; all of it if
 	// negative.
 	read int64
@@ -34,16 +33,6 @@
 	end  func(c *net.TCPConn, rest io.Reader)
 }
 
-func (s *earlyServer) run() {
-	for {
-		c, e := s.listener.Accept()
-		if e != nil {
-			return
-		}
-		go s.serve(c.(*net.TCPConn))
-	}
-}
-
 func (s *earlyServer) serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
 	b := bufio.NewReader(c)
@@ -101,13 +90,8 @@
 			s.wait, _ = time.ParseDuration(wait)
 		}
 		s.end = earlyEnds[end]
-		var e error
-		if s.listener, e = net.Listen("tcp", "127.0.0.1:0"); e != nil {
-			t.Fatal(e)
-		}
-		defer func() { _ = s.listener.Close() }()
-		go s.run()
-		b := newClient(t, lavenderridge.Address(s.listener.Addr().String()), 10*earlyRuns, backendhttp.WithProtocol(unframedProtocol{}))
+		l := acceptEach(t, func(c net.Conn) { s.serve(c.(*net.TCPConn)) })
+		b := newClient(t, lavenderridge.Address(l.Addr().String()), 10*earlyRuns, backendhttp.WithProtocol(unframedProtocol{}))
 		n := make(map[string]int)
 		for range earlyRuns {
 			n[upload(t, b, size)]++
--- a/internal/transport/backendhttp/repeatedrefusal_test.go
+++ b/internal/transport/backendhttp/repeatedrefusal_test.go
@@ -39,22 +39,11 @@
 
 func newRepeatingServer(t *testing.T, d time.Duration) *repeatingServer {
 	t.Helper()
-	l, e := net.Listen("tcp", "127.0.0.1:0")
-	if e != nil {
-		t.Fatal(e)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &repeatingServer{listener: l, delay: d}
-	go func() {
-		for {
-			c, e := l.Accept()
-			if e != nil {
-				return
-			}
-			s.opened.Add(1)
-			go s.serve(c)
-		}
-	}()
+	s := &repeatingServer{delay: d}
+	s.listener = acceptEach(t, func(c net.Conn) {
+		s.opened.Add(1)
+		s.serve(c)
+	})
 	return s
 }
 
